--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -134,18 +134,13 @@
                 if !d.spec.allows(&t.name, zone, spot) {
                     continue;
                 }
-                let offer = Offer {
-                    build: t.name.clone(),
-                    yard: zone.clone(),
-                    spot,
-                };
+                let offer = Offer { build: t.name.clone(), yard: zone.clone(), spot };
                 if !offered(&offer) {
                     continue;
                 }
                 let busy = d.run.max(Micros::secs(10)) + t.fetch_time(d.spec.size);
                 let charged = (t.boot + busy * 2).max(Micros::secs(60));
-                let cost =
-                    u128::from(t.price_of(spot)) * u128::from(charged.0) / u128::from(per_machine);
+                let cost = u128::from(t.price_of(spot)) * u128::from(charged.0) / u128::from(per_machine);
                 if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                     best = Some((cost, t, offer, per_machine));
                 }
--- a/src/bookkeeping/placement.rs
+++ b/src/bookkeeping/placement.rs
@@ -77,17 +77,11 @@
 }
 
 fn place_job<'a>(slots: &mut [Slot<'a>], ask: &mut Ask<'a>, most: usize, claims: &mut Vec<Claim>) {
-    let mut zone = ask
-        .zones
-        .keys()
-        .next()
-        .copied()
-        .filter(|_| ask.spec.one_zone);
+    let mut zone = ask.zones.keys().next().copied().filter(|_| ask.spec.one_zone);
     if ask.spec.one_zone && zone.is_none() {
         zone = roomiest_zone(slots, ask.spec);
     }
-    let mut placed = 0;
-    for index in &ask.tasks {
+    for (placed, index) in (0..).zip(&ask.tasks) {
         if placed >= ask.most || claims.len() >= most {
             return;
         }
@@ -100,13 +94,7 @@
             slot.images.push(&ask.spec.bundle);
         }
         *ask.zones.entry(slot.yard).or_default() += 1;
-        claims.push(Claim {
-            job: ask.job,
-            index: *index,
-            slice: slot.slice,
-            machine: slot.machine,
-        });
-        placed += 1;
+        claims.push(Claim { job: ask.job, index: *index, slice: slot.slice, machine: slot.machine });
     }
 }
 
@@ -116,25 +104,19 @@
         ask.spec.need.fits(&s.free)
             && ask.spec.allows(s.build, s.yard, s.spot)
             && zone.is_none_or(|z| z == s.yard)
-            && (!ask.spec.apart
-                || ask.zones.get(s.yard).copied().unwrap_or(0) < ask.spec.zone_limit())
+            && (!ask.spec.apart || ask.zones.get(s.yard).copied().unwrap_or(0) < ask.spec.zone_limit())
     };
     let rank = |s: &Slot<'_>| {
         let avoided = ask.avoid.contains(&s.machine);
         let has_image = s.images.contains(&ask.spec.bundle.as_str());
         (avoided, !has_image, s.free.cores, s.free.memory, s.machine)
     };
-    (0..slots.len())
-        .filter(|i| fits(&slots[*i]))
-        .min_by_key(|i| rank(&slots[*i]))
+    (0..slots.len()).filter(|i| fits(&slots[*i])).min_by_key(|i| rank(&slots[*i]))
 }
 
 fn roomiest_zone<'a>(slots: &[Slot<'a>], spec: &JobSpec) -> Option<&'a str> {
     let mut room: BTreeMap<&str, u64> = BTreeMap::new();
-    for s in slots
-        .iter()
-        .filter(|s| spec.allows(s.build, s.yard, s.spot))
-    {
+    for s in slots.iter().filter(|s| spec.allows(s.build, s.yard, s.spot)) {
         *room.entry(s.yard).or_default() += spec.need.times_in(&s.free, spec.pieces.into());
     }
     room.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z)
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -122,13 +122,7 @@
 
     /// The attempt that it books.
     pub fn attempt(&self) -> Attempt {
-        Attempt {
-            task: TaskId {
-                job: JobId(self.0),
-                index: self.1,
-            },
-            number: self.2,
-        }
+        Attempt { task: TaskId { job: JobId(self.0), index: self.1 }, number: self.2 }
     }
 }
 
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -11,8 +11,7 @@
 use super::ids::{JobId, MachineId, Slice, TaskId};
 use super::job::{JobRecord, JobSpec};
 use super::records::{
-    Booking, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord, OwnRecord,
-    UsageRecord,
+    Booking, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord, OwnRecord, UsageRecord,
 };
 use std::collections::{BTreeMap, HashMap};
 
@@ -76,10 +75,7 @@
         match index / CHUNK {
             0 => self.record.finished.has(index),
             n if self.record.full >> n & 1 == 1 => true,
-            n => self
-                .chunks
-                .get(&n)
-                .is_some_and(|c| c.value.has(index % CHUNK)),
+            n => self.chunks.get(&n).is_some_and(|c| c.value.has(index % CHUNK)),
         }
     }
 
@@ -168,28 +164,18 @@
         match meta.teams.get(&spec.crew) {
             Some(&k) if k < meta.slices => k,
             // The job ids come in no order; a multiplicative hash spreads runs of them too.
-            _ => {
-                ((id.0.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33) % meta.slices.max(1) as u64)
-                    as Slice
-            }
+            _ => ((id.0.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33) % meta.slices.max(1) as u64) as Slice,
         }
     }
 
     /// The machine's record.
     pub fn machine(&self, m: MachineId) -> Option<&MachineRecord> {
-        self.groups
-            .get(self.machine_slice(m))?
-            .value
-            .machines
-            .get(&m)
+        self.groups.get(self.machine_slice(m))?.value.machines.get(&m)
     }
 
     /// All machines of all groups.
     pub fn machines(&self) -> impl Iterator<Item = (Slice, MachineId, &MachineRecord)> {
-        self.groups
-            .iter()
-            .enumerate()
-            .flat_map(|(k, g)| g.value.machines.iter().map(move |(m, r)| (k, *m, r)))
+        self.groups.iter().enumerate().flat_map(|(k, g)| g.value.machines.iter().map(move |(m, r)| (k, *m, r)))
     }
 
     /// The type of this name.
@@ -209,18 +195,12 @@
 
     /// What a task of this job takes; nothing for a job that is not live.
     pub fn need(&self, job: JobId) -> Amount {
-        self.jobs
-            .get(&job)
-            .map(|j| j.record.spec.need)
-            .unwrap_or_default()
+        self.jobs.get(&job).map(|j| j.record.spec.need).unwrap_or_default()
     }
 
     /// Room left on a machine beside its bookings.
     pub fn free(&self, record: &MachineRecord) -> Amount {
-        let mut room = self
-            .machine_type(&record.build)
-            .map(|t| t.room)
-            .unwrap_or_default();
+        let mut room = self.machine_type(&record.build).map(|t| t.room).unwrap_or_default();
         for b in &record.tasks {
             room -= self.need(JobId(b.0));
         }
@@ -230,17 +210,13 @@
     /// Tasks of a job that are neither finished nor booked, in order.
     pub fn pending<'a>(&'a self, id: JobId, job: &'a Job) -> impl Iterator<Item = u32> + 'a {
         let booked = self.booked.get(&id);
-        (0..job.record.spec.pieces)
-            .filter(move |i| !job.finished(*i) && booked.is_none_or(|b| !b.contains_key(i)))
+        (0..job.record.spec.pieces).filter(move |i| !job.finished(*i) && booked.is_none_or(|b| !b.contains_key(i)))
     }
 
     /// How many tasks of a job are neither finished nor booked.
     pub fn pending_count(&self, id: JobId, job: &Job) -> u32 {
         let booked = self.booked.get(&id).map_or(0, |b| b.len() as u32);
-        job.record
-            .spec
-            .pieces
-            .saturating_sub(job.record.done() + booked)
+        job.record.spec.pieces.saturating_sub(job.record.done() + booked)
     }
 
     /// The revision of a key as the copy knows it.
@@ -254,11 +230,7 @@
             Key::Group(k) => self.groups.get(*k).map_or(0, |s| s.stamp),
             Key::Usage(k) => self.usage.get(*k).map_or(0, |s| s.stamp),
             Key::Job(j) => self.jobs.get(j).map_or(0, |s| s.stamp),
-            Key::Chunk(j, n) => self
-                .jobs
-                .get(j)
-                .and_then(|s| s.chunks.get(n))
-                .map_or(0, |c| c.stamp),
+            Key::Chunk(j, n) => self.jobs.get(j).and_then(|s| s.chunks.get(n)).map_or(0, |c| c.stamp),
             Key::Final(_) => 0,
         }
     }
@@ -266,8 +238,7 @@
     /// Applies changes in order. Those that are in already are passed over.
     pub fn apply(&mut self, changes: impl IntoIterator<Item = Change>, touched: &mut Touched) {
         for c in changes {
-            if c.stamp <= self.stamp(&c.key) || self.gone.get(&c.key).is_some_and(|s| c.stamp <= *s)
-            {
+            if c.stamp <= self.stamp(&c.key) || self.gone.get(&c.key).is_some_and(|s| c.stamp <= *s) {
                 continue;
             }
             self.latest = self.latest.max(c.stamp);
@@ -292,17 +263,11 @@
         match (c.key, c.content) {
             (Key::Meta, Some(Content::Meta(value))) => {
                 let last = value.slices.saturating_sub(1);
-                self.meta = Stamped {
-                    value: Some(value),
-                    stamp,
-                };
+                self.meta = Stamped { value: Some(value), stamp };
                 self.size_for(last);
             }
             (Key::Types, Some(Content::Types(value))) => {
-                self.types = Stamped {
-                    value: Some(value),
-                    stamp,
-                };
+                self.types = Stamped { value: Some(value), stamp };
                 touched.usage = true;
             }
             (Key::Fleet, Some(Content::Fleet(value))) => self.fleet = Stamped { value, stamp },
@@ -350,14 +315,7 @@
                     }
                     None => {
                         let chunks = BTreeMap::new();
-                        self.jobs.insert(
-                            id,
-                            Job {
-                                record,
-                                stamp,
-                                chunks,
-                            },
-                        );
+                        self.jobs.insert(id, Job { record, stamp, chunks });
                     }
                 }
                 touched.jobs.push(id);
@@ -384,10 +342,7 @@
         let old = std::mem::replace(&mut self.groups[k], Stamped { value, stamp });
         for (m, record) in &old.value.machines {
             for Booking(job, index, number) in &record.tasks {
-                let place = Place {
-                    machine: *m,
-                    number: *number,
-                };
+                let place = Place { machine: *m, number: *number };
                 if let Some(tasks) = self.booked.get_mut(&JobId(*job)) {
                     // A task that moved is indexed at its new place already.
                     if tasks.get(index) == Some(&place) {
@@ -401,14 +356,8 @@
         }
         for (m, record) in &self.groups[k].value.machines {
             for Booking(job, index, number) in &record.tasks {
-                let place = Place {
-                    machine: *m,
-                    number: *number,
-                };
-                self.booked
-                    .entry(JobId(*job))
-                    .or_default()
-                    .insert(*index, place);
+                let place = Place { machine: *m, number: *number };
+                self.booked.entry(JobId(*job)).or_default().insert(*index, place);
             }
         }
     }
--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -12,11 +12,7 @@
 impl Bucket {
     fn new(rate: f64) -> Bucket {
         let most = rate.max(1.0);
-        Bucket {
-            rate,
-            most,
-            level: most,
-        }
+        Bucket { rate, most, level: most }
     }
 
     fn fill(&mut self, span: Micros) {
@@ -61,15 +57,8 @@
         self.bring_forward(now);
         let writes = writes as f64;
         let need_requests = 1.0 + reserve * self.requests.most;
-        let need_writes = if writes > 0.0 {
-            writes + reserve * self.writes.most
-        } else {
-            0.0
-        };
-        let wait = self
-            .requests
-            .wait(need_requests)
-            .max(self.writes.wait(need_writes));
+        let need_writes = if writes > 0.0 { writes + reserve * self.writes.most } else { 0.0 };
+        let wait = self.requests.wait(need_requests).max(self.writes.wait(need_writes));
         if wait > Micros::ZERO {
             return Err(now + wait.max(Micros::millis(1)));
         }
@@ -80,12 +69,7 @@
 
     /// Changes that may be spent at once beside `reserve`, if they are at least `least`; otherwise
     /// when to ask again.
-    pub fn writes_left(
-        &mut self,
-        now: Micros,
-        reserve: usize,
-        least: usize,
-    ) -> Result<usize, Micros> {
+    pub fn writes_left(&mut self, now: Micros, reserve: usize, least: usize) -> Result<usize, Micros> {
         self.bring_forward(now);
         let need = ((reserve + least) as f64).min(self.writes.most);
         let wait = self.requests.wait(2.0).max(self.writes.wait(need));
--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -86,39 +86,22 @@
 
     /// Changes so far. A job that ends takes two: its record goes, its end is kept.
     fn ops(&self) -> usize {
-        let jobs: usize = self
-            .jobs
-            .values()
-            .map(|j| j.chunks.len() + 1 + usize::from(j.ended.is_some()))
-            .sum();
+        let jobs: usize = self.jobs.values().map(|j| j.chunks.len() + 1 + usize::from(j.ended.is_some())).sum();
         self.groups.len() + self.usage.len() + jobs + self.removed_chunks.len()
     }
 
     /// Makes sure that the records can be edited within the limits; changes nothing otherwise.
-    fn reserve(
-        &mut self,
-        group: Option<Slice>,
-        usage: Option<Slice>,
-        job: Option<JobId>,
-        conditions: &[Key],
-    ) -> bool {
+    fn reserve(&mut self, group: Option<Slice>, usage: Option<Slice>, job: Option<JobId>, conditions: &[Key]) -> bool {
         let mut ops = self.ops();
         let new_group = group.filter(|k| !self.groups.contains_key(k));
         let new_usage = usage.filter(|k| !self.usage.contains_key(k));
         ops += usize::from(new_group.is_some()) + usize::from(new_usage.is_some());
         if let Some(j) = job {
             // A job may turn out to end, or to write one more chunk.
-            let chunked = self
-                .view
-                .jobs
-                .get(&j)
-                .is_some_and(|j| j.spec().extra_chunks() > 0);
+            let chunked = self.view.jobs.get(&j).is_some_and(|j| j.spec().extra_chunks() > 0);
             ops += 1 + usize::from(chunked) + usize::from(!self.jobs.contains_key(&j));
         }
-        let new_conditions = conditions
-            .iter()
-            .filter(|c| !self.conditions.contains(c))
-            .count();
+        let new_conditions = conditions.iter().filter(|c| !self.conditions.contains(c)).count();
         // Everything written is a condition as well.
         let all = ops + self.conditions.len() + new_conditions;
         if ops > self.limits.ops || all > self.limits.conditions {
@@ -137,18 +120,11 @@
             self.usage.insert(k, self.view.usage[k].value.clone());
             self.bytes += 512;
         }
-        if let Some(j) = job.filter(|j| !self.jobs.contains_key(j)) {
-            if let Some(job) = self.view.jobs.get(&j) {
-                self.bytes += 3_000;
-                self.jobs.insert(
-                    j,
-                    JobEdit {
-                        record: job.record.clone(),
-                        chunks: BTreeMap::new(),
-                        ended: None,
-                    },
-                );
-            }
+        if let Some(j) = job.filter(|j| !self.jobs.contains_key(j))
+            && let Some(job) = self.view.jobs.get(&j)
+        {
+            self.bytes += 3_000;
+            self.jobs.insert(j, JobEdit { record: job.record.clone(), chunks: BTreeMap::new(), ended: None });
         }
         self.conditions.extend(conditions.iter().cloned());
         self.bytes <= TXN_BYTES
@@ -186,10 +162,7 @@
 
     /// What a team of a slice would have booked.
     pub fn used(&self, k: Slice, team: &str) -> (u64, u64) {
-        self.usage
-            .get(&k)
-            .unwrap_or(&self.view.usage[k].value)
-            .of(team)
+        self.usage.get(&k).unwrap_or(&self.view.usage[k].value).of(team)
     }
 
     /// Adds a machine that was heard for the first time.
@@ -210,11 +183,7 @@
             return true;
         };
         // A machine that may have been released is unusable for ever.
-        let fitness = if now.fitness == Fitness::Releasing {
-            Fitness::Releasing
-        } else {
-            mark.fitness
-        };
+        let fitness = if now.fitness == Fitness::Releasing { Fitness::Releasing } else { mark.fitness };
         let dead = now.dead.max(mark.dead);
         if (now.fitness, now.dead) == (fitness, dead) {
             return true;
@@ -222,11 +191,7 @@
         if !self.reserve(Some(k), None, None, &[Key::Own(by)]) {
             return false;
         }
-        if let Some(r) = self
-            .groups
-            .get_mut(&k)
-            .and_then(|g| g.record.machines.get_mut(&m))
-        {
+        if let Some(r) = self.groups.get_mut(&k).and_then(|g| g.record.machines.get_mut(&m)) {
             r.fitness = fitness;
             r.dead = dead;
         }
@@ -234,19 +199,9 @@
     }
 
     /// Clears a booking: its outcome, its room and its team's usage in one.
-    pub fn clear(
-        &mut self,
-        k: Slice,
-        m: MachineId,
-        a: Attempt,
-        outcome: Outcome,
-        by: Slice,
-    ) -> bool {
+    pub fn clear(&mut self, k: Slice, m: MachineId, a: Attempt, outcome: Outcome, by: Slice) -> bool {
         let booking = Booking::of(a);
-        if !self
-            .machine(k, m)
-            .is_some_and(|r| r.tasks.contains(&booking))
-        {
+        if !self.machine(k, m).is_some_and(|r| r.tasks.contains(&booking)) {
             return true;
         }
         let id = a.task.job;
@@ -255,23 +210,14 @@
         };
         let job_slice = self.view.job_slice(id, job.spec());
         let edits_job = outcome != Outcome::Again && !job.record.cancelled;
-        if !self.reserve(
-            Some(k),
-            Some(job_slice),
-            edits_job.then_some(id),
-            &[Key::Own(by)],
-        ) {
+        if !self.reserve(Some(k), Some(job_slice), edits_job.then_some(id), &[Key::Own(by)]) {
             return false;
         }
         let spec = job.spec();
         if let Some(u) = self.usage.get_mut(&job_slice) {
             u.take(&spec.crew, spec.need.cores, spec.need.accelerators);
         }
-        if let Some(r) = self
-            .groups
-            .get_mut(&k)
-            .and_then(|g| g.record.machines.get_mut(&m))
-        {
+        if let Some(r) = self.groups.get_mut(&k).and_then(|g| g.record.machines.get_mut(&m)) {
             r.tasks.retain(|b| *b != booking);
         }
         if edits_job {
@@ -298,12 +244,8 @@
         if n == 0 {
             edit.record.finished.insert(index);
         } else if edit.record.full >> n & 1 == 0 {
-            let chunk = edit.chunks.entry(n).or_insert_with(|| {
-                job.chunks
-                    .get(&n)
-                    .map(|c| c.value.clone())
-                    .unwrap_or_default()
-            });
+            let chunk =
+                edit.chunks.entry(n).or_insert_with(|| job.chunks.get(&n).map(|c| c.value.clone()).unwrap_or_default());
             if chunk.insert(index % CHUNK) {
                 edit.record.more += 1;
                 let size = CHUNK.min(edit.record.spec.pieces - n * CHUNK);
@@ -314,10 +256,7 @@
             }
         }
         if edit.record.done() >= edit.record.spec.pieces {
-            edit.ended = Some(FinalRecord {
-                cancelled: false,
-                done: edit.record.done(),
-            });
+            edit.ended = Some(FinalRecord { cancelled: false, done: edit.record.done() });
         }
     }
 
@@ -339,10 +278,7 @@
             return false;
         }
         if let Some(j) = self.jobs.get_mut(&id) {
-            j.ended = Some(FinalRecord {
-                cancelled: true,
-                done,
-            });
+            j.ended = Some(FinalRecord { cancelled: true, done });
         }
         true
     }
@@ -356,16 +292,10 @@
         let spec = job.spec();
         let job_slice = self.view.job_slice(id, spec);
         let keys = [Key::Own(job_slice), Key::Job(id)];
-        if !self.reserve(Some(k), Some(job_slice), None, &keys)
-            || !self.grow(k, BOOKING_BYTES + spec.bundle.len())
-        {
+        if !self.reserve(Some(k), Some(job_slice), None, &keys) || !self.grow(k, BOOKING_BYTES + spec.bundle.len()) {
             return false;
         }
-        let Some(r) = self
-            .groups
-            .get_mut(&k)
-            .and_then(|g| g.record.machines.get_mut(&m))
-        else {
+        let Some(r) = self.groups.get_mut(&k).and_then(|g| g.record.machines.get_mut(&m)) else {
             return false;
         };
         r.tasks.push(Booking::of(a));
@@ -405,11 +335,7 @@
 
     /// The transaction: every record that it writes is a condition.
     pub fn commit(self) -> Commit {
-        let mut commit = Commit {
-            txn: Txn::default(),
-            changes: Vec::new(),
-            ended: Vec::new(),
-        };
+        let mut commit = Commit { txn: Txn::default(), changes: Vec::new(), ended: Vec::new() };
         let mut conditions = self.conditions;
         let mut put = |key: Key, content: Option<Content>| {
             let value = match &content {
@@ -420,16 +346,8 @@
                 _ => None,
             };
             conditions.insert(key.clone());
-            commit.txn.then.push(Put {
-                key: key.clone(),
-                value,
-                permit: None,
-            });
-            commit.changes.push(Change {
-                key,
-                content,
-                stamp: 0,
-            });
+            commit.txn.then.push(Put { key: key.clone(), value, permit: None });
+            commit.changes.push(Change { key, content, stamp: 0 });
         };
         for (k, g) in self.groups {
             put(Key::Group(k), Some(Content::Group(g.record)));
@@ -460,19 +378,11 @@
             }
         }
         for (id, f) in finals {
-            commit.txn.then.push(Put {
-                key: Key::Final(id),
-                value: encode(&f),
-                permit: None,
-            });
+            commit.txn.then.push(Put { key: Key::Final(id), value: encode(&f), permit: None });
             conditions.insert(Key::Final(id));
             commit.ended.push((id, f));
         }
-        commit.txn.when = conditions
-            .into_iter()
-            .map(|k| (self.view.stamp(&k), k))
-            .map(|(s, k)| (k, s))
-            .collect();
+        commit.txn.when = conditions.into_iter().map(|k| (self.view.stamp(&k), k)).map(|(s, k)| (k, s)).collect();
         commit
     }
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -8,9 +8,7 @@
 use crate::bookkeeping::records::{Fitness, FleetRecord, HireRecord, Key};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Content, Touched};
-use crate::protocol::cloud::{
-    CloudReply, CloudRequest, HIRE_LIMIT, Host, HostStatus, RELEASE_LIMIT,
-};
+use crate::protocol::cloud::{CloudReply, CloudRequest, HIRE_LIMIT, Host, HostStatus, RELEASE_LIMIT};
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -45,6 +43,7 @@
     looking: bool,
     next: Micros,
     next_list: Micros,
+    next_look: Micros,
     next_catalog: Micros,
     asking_catalog: bool,
     listing: bool,
@@ -75,10 +74,7 @@
 
     pub(super) fn end_fleet(&mut self) {
         let counter = self.fleet.counter;
-        self.fleet = Fleet {
-            counter,
-            ..Fleet::default()
-        };
+        self.fleet = Fleet { counter, ..Fleet::default() };
         self.rounds.drop_fleet();
     }
 
@@ -115,6 +111,11 @@
             return;
         }
         self.return_machines();
+        if now >= self.fleet.next_look {
+            // What was expected to come may not have come.
+            self.fleet.next_look = now + Micros::secs(2);
+            self.fleet.looking = true;
+        }
         if self.fleet.looking && self.fleet.hiring == 0 && !self.fleet.writing {
             self.fleet.looking = false;
             self.hire_machines();
@@ -139,23 +140,15 @@
         for (id, j) in jobs {
             let spec = j.spec();
             let k = self.view.job_slice(*id, spec);
-            let used = left
-                .entry(&spec.crew)
-                .or_insert_with(|| self.view.usage[k].value.of(&spec.crew));
+            let used = left.entry(&spec.crew).or_insert_with(|| self.view.usage[k].value.of(&spec.crew));
             let mut count = u64::from(self.view.pending_count(*id, j));
             if let Some(limit) = self.cfg.team(&spec.crew).and_then(|t| t.cores_limit) {
-                if spec.need.cores > 0 {
-                    count = count.min(limit.saturating_sub(used.0) / spec.need.cores);
-                }
+                let left = limit.saturating_sub(used.0).checked_div(spec.need.cores);
+                count = count.min(left.unwrap_or(u64::MAX));
             }
             used.0 += count * spec.need.cores;
             if count > 0 {
-                demands.push(Demand {
-                    spec,
-                    count,
-                    slack: self.latest_start(j).since(self.now.day),
-                    run: spec.guess,
-                });
+                demands.push(Demand { spec, count, slack: self.latest_start(j).since(self.now.day), run: spec.guess });
             }
         }
         if demands.is_empty() {
@@ -174,46 +167,24 @@
                     load.work += u128::from(j.spec().need.cores) * u128::from(j.spec().guess.0 / 2);
                 }
             }
-            rooms.push(Room {
-                build: &r.build,
-                yard: &r.yard,
-                spot: r.spot,
-                free: self.view.free(r),
-            });
+            rooms.push(Room { build: &r.build, yard: &r.yard, spot: r.spot, free: self.view.free(r) });
         }
         for (m, k) in &self.fleet.known {
             if self.boots(*m, k) {
-                let room = self
-                    .view
-                    .machine_type(&k.build)
-                    .map_or(Amount::default(), |t| t.room);
+                let room = self.view.machine_type(&k.build).map_or(Amount::default(), |t| t.room);
                 load.cores += room.cores;
-                rooms.push(Room {
-                    build: &k.build,
-                    yard: &k.yard,
-                    spot: k.spot,
-                    free: room,
-                });
+                rooms.push(Room { build: &k.build, yard: &k.yard, spot: k.spot, free: room });
             }
         }
         // Rentals of an earlier owner whose machines no list shows yet.
         for h in &self.view.fleet.value.hires {
             let age = self.now.day.since(h.at);
-            let shown =
-                |m: &MachineId| self.fleet.known.contains_key(m) || self.view.machine(*m).is_some();
+            let shown = |m: &MachineId| self.fleet.known.contains_key(m) || self.view.machine(*m).is_some();
             if age < self.cfg.list_lag * 2 + Micros::secs(8) && !h.machines.iter().any(shown) {
-                let room = self
-                    .view
-                    .machine_type(&h.build)
-                    .map_or(Amount::default(), |t| t.room);
+                let room = self.view.machine_type(&h.build).map_or(Amount::default(), |t| t.room);
                 for _ in 0..h.count {
                     load.cores += room.cores;
-                    rooms.push(Room {
-                        build: &h.build,
-                        yard: &h.yard,
-                        spot: h.spot,
-                        free: room,
-                    });
+                    rooms.push(Room { build: &h.build, yard: &h.yard, spot: h.spot, free: room });
                 }
             }
         }
@@ -231,10 +202,7 @@
             self.fleet.counter += 1;
             new.push(HireRecord {
                 // Never used again, not even by another process or after a restart.
-                name: format!(
-                    "{}-{:016x}-{}",
-                    self.cfg.node, self.run.0, self.fleet.counter
-                ),
+                name: format!("{}-{:016x}-{}", self.cfg.node, self.run.0, self.fleet.counter),
                 build: offer.build,
                 yard: offer.yard,
                 spot: offer.spot,
@@ -248,7 +216,7 @@
             let over = record.hires.len() - 24;
             record.hires.drain(..over);
         }
-        self.write_fleet(record);
+        self.write_fleet(record, new);
     }
 
     /// Whether a known machine is still expected to come up.
@@ -262,72 +230,41 @@
     /// How long a machine of this type may take to come up before it no longer counts as coming
     /// (`times` 1), or is given up (3).
     fn boot_patience(&self, build: &str, times: u64) -> Micros {
-        let boot = self
-            .view
-            .machine_type(build)
-            .map_or(Micros::secs(60), |t| t.boot);
+        let boot = self.view.machine_type(build).map_or(Micros::secs(60), |t| t.boot);
         Micros(boot.0 * 2) * times + Micros::secs(10)
     }
 
-    fn write_fleet(&mut self, record: FleetRecord) {
+    fn write_fleet(&mut self, record: FleetRecord, new: Vec<HireRecord>) {
         let txn = Txn {
-            when: vec![
-                (Key::Own(0), self.view.stamp(&Key::Own(0))),
-                (Key::Fleet, self.view.fleet.stamp),
-            ],
-            then: vec![Put {
-                key: Key::Fleet,
-                value: encode(&record),
-                permit: None,
-            }],
+            when: vec![(Key::Own(0), self.view.stamp(&Key::Own(0))), (Key::Fleet, self.view.fleet.stamp)],
+            then: vec![Put { key: Key::Fleet, value: encode(&record), permit: None }],
         };
         self.fleet.writing = true;
         self.budget.force(self.now.steady, 1);
-        self.ask_state(Purpose::Fleet(Box::new(record)), StateRequest::Txn(txn));
+        self.ask_state(Purpose::Fleet(Box::new((record, new))), StateRequest::Txn(txn));
     }
 
+    /// The plan is on record: what is new in it is rented now. That is known by what was written,
+    /// not by comparing with the copy: the watch may have brought the record before this answer.
     pub(super) fn on_fleet_written(
         &mut self,
-        record: FleetRecord,
+        (record, new): (FleetRecord, Vec<HireRecord>),
         result: Result<StateReply, CallError>,
     ) {
         self.fleet.writing = false;
         self.fleet.looking = true;
         let Ok(StateReply::Applied(stamp)) = result else {
+            tracing::debug!(?result, "the plan of the fleet was not written");
             self.reader.want_barrier();
             return;
         };
-        let before: BTreeSet<String> = self
-            .view
-            .fleet
-            .value
-            .hires
-            .iter()
-            .map(|h| h.name.clone())
-            .collect();
-        let new: Vec<HireRecord> = record
-            .hires
-            .iter()
-            .filter(|h| !before.contains(&h.name))
-            .cloned()
-            .collect();
-        let change = Change {
-            key: Key::Fleet,
-            content: Some(Content::Fleet(record)),
-            stamp,
-        };
+        let change = Change { key: Key::Fleet, content: Some(Content::Fleet(record)), stamp };
         self.view.apply([change], &mut Touched::default());
         if !self.owns(0) {
             return;
         }
         for h in new {
-            tracing::info!(
-                hire = h.name,
-                build = h.build,
-                spot = h.spot,
-                count = h.count,
-                "hiring"
-            );
+            tracing::info!(hire = h.name, build = h.build, spot = h.spot, count = h.count, "hiring");
             self.fleet.hiring += 1;
             let request = CloudRequest::Hire {
                 name: h.name.clone(),
@@ -341,21 +278,14 @@
     }
 
     pub(super) fn on_cloud(&mut self, id: CallId, result: Result<CloudReply, CallError>) {
-        let Some(Call {
-            purpose: Purpose::Cloud(purpose),
-            ..
-        }) = self.calls.remove(&id)
-        else {
+        let Some(Call { purpose: Purpose::Cloud(purpose), .. }) = self.calls.remove(&id) else {
             return;
         };
         if !self.owns(0) {
             return;
         }
         let now = self.now.steady;
-        if matches!(
-            result,
-            Err(CallError::Unavailable | CallError::TooMany | CallError::Unknown)
-        ) {
+        if matches!(result, Err(CallError::Unavailable | CallError::TooMany | CallError::Unknown)) {
             self.fleet.trouble_until = now + Micros::millis(1_500);
         }
         match purpose {
@@ -392,32 +322,17 @@
             return;
         }
         let txn = Txn {
-            when: vec![
-                (Key::Own(0), self.view.stamp(&Key::Own(0))),
-                (Key::Types, self.view.types.stamp),
-            ],
-            then: vec![Put {
-                key: Key::Types,
-                value,
-                permit: None,
-            }],
+            when: vec![(Key::Own(0), self.view.stamp(&Key::Own(0))), (Key::Types, self.view.types.stamp)],
+            then: vec![Put { key: Key::Types, value, permit: None }],
         };
         self.budget.force(self.now.steady, 1);
         self.ask_state(Purpose::Types(new), StateRequest::Txn(txn));
     }
 
-    pub(super) fn on_types_written(
-        &mut self,
-        types: Catalog,
-        result: Result<StateReply, CallError>,
-    ) {
+    pub(super) fn on_types_written(&mut self, types: Catalog, result: Result<StateReply, CallError>) {
         match result {
             Ok(StateReply::Applied(stamp)) => {
-                let change = Change {
-                    key: Key::Types,
-                    content: Some(Content::Types(types)),
-                    stamp,
-                };
+                let change = Change { key: Key::Types, content: Some(Content::Types(types)), stamp };
                 let mut touched = Touched::default();
                 self.view.apply([change], &mut touched);
                 self.on_touched_view(&touched);
@@ -433,23 +348,12 @@
         let now = self.now.steady;
         self.fleet.hiring = self.fleet.hiring.saturating_sub(1);
         self.fleet.looking = true;
-        let offer = Offer {
-            build: h.build.clone(),
-            yard: h.yard.clone(),
-            spot: h.spot,
-        };
+        let offer = Offer { build: h.build.clone(), yard: h.yard.clone(), spot: h.spot };
         match result {
             Ok(CloudReply::Hired(machines)) => {
-                tracing::info!(
-                    hire = h.name,
-                    asked = h.count,
-                    got = machines.len(),
-                    "hired"
-                );
+                tracing::info!(hire = h.name, asked = h.count, got = machines.len(), "hired");
                 if (machines.len() as u32) < h.count {
-                    self.fleet
-                        .none_left
-                        .insert(offer, (now + Micros::secs(5), 1));
+                    self.fleet.none_left.insert(offer, (now + Micros::secs(5), 1));
                 } else {
                     self.fleet.none_left.remove(&offer);
                 }
@@ -525,10 +429,7 @@
     }
 
     fn idle_limit(&self, build: &str) -> Micros {
-        let derived = self
-            .view
-            .machine_type(build)
-            .map_or(Micros::secs(30), |t| t.boot);
+        let derived = self.view.machine_type(build).map_or(Micros::secs(30), |t| t.boot);
         self.op.idle_s.map_or(derived, Micros::from_secs_f64)
     }
 
@@ -561,9 +462,7 @@
                         marks.push((m, "silent for long"));
                     }
                 }
-                Fitness::Up if idle && now.since(since) > self.idle_limit(&r.build) => {
-                    marks.push((m, "idle"))
-                }
+                Fitness::Up if idle && now.since(since) > self.idle_limit(&r.build) => marks.push((m, "idle")),
                 _ => {}
             }
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,8 +12,9 @@
 mod sessions;
 mod users;
 
+use crate::bookkeeping::catalog::Catalog;
 use crate::bookkeeping::ids::{JobId, MachineId, Slice};
-use crate::bookkeeping::records::Incarnation;
+use crate::bookkeeping::records::{FleetRecord, HireRecord, Incarnation};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Touched, View};
 use crate::protocol::cloud::{CloudReply, CloudRequest};
@@ -103,8 +104,8 @@
     Abort(users::Waiting),
     Final(users::Waiting),
     Round(Box<rounds::InFlight>),
-    Types(crate::bookkeeping::catalog::Catalog),
-    Fleet(Box<crate::bookkeeping::records::FleetRecord>),
+    Types(Catalog),
+    Fleet(Box<(FleetRecord, Vec<HireRecord>)>),
     Cloud(fleet::CloudPurpose),
     Direct(MachineId),
 }
@@ -129,6 +130,8 @@
     pub booked: u64,
     /// Bookings cleared.
     pub cleared: u64,
+    /// Slices taken over.
+    pub takeovers: u64,
 }
 
 /// One controller.
@@ -187,10 +190,7 @@
 
     /// Takes an event and returns what is to be done about it.
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Effect> {
-        self.now = Now {
-            steady: now.steady.max(self.now.steady),
-            day: now.day,
-        };
+        self.now = Now { steady: now.steady.max(self.now.steady), day: now.day };
         match event {
             Event::Tick => {}
             Event::User(call, request) => self.on_user(call, request),
@@ -202,11 +202,7 @@
             Event::State(call, result) => self.on_state(call, result),
             Event::Cloud(call, result) => self.on_cloud(call, result),
             Event::Direct(call, result) => {
-                if let Some(Call {
-                    purpose: Purpose::Direct(machine),
-                    ..
-                }) = self.calls.remove(&call)
-                {
+                if let Some(Call { purpose: Purpose::Direct(machine), .. }) = self.calls.remove(&call) {
                     self.on_direct(call, machine, result);
                 }
             }
@@ -286,9 +282,7 @@
         if self.now.steady >= self.next_hint {
             self.next_hint = self.now.steady + Micros::secs(1);
             let contact = self.reader.ready().then(|| self.contact_age().as_millis());
-            let terms = (0..self.view.own.len())
-                .map(|k| (self.view.own[k].stamp, self.owns(k)))
-                .collect();
+            let terms = (0..self.view.own.len()).map(|k| (self.view.own[k].stamp, self.owns(k))).collect();
             self.out.push(Effect::Peers(PeerHint {
                 node: self.cfg.node.clone(),
                 run: self.run,
@@ -308,8 +302,7 @@
                 self.reader.want_barrier();
             }
         }
-        self.peers
-            .insert(hint.node.clone(), (self.now.steady, hint));
+        self.peers.insert(hint.node.clone(), (self.now.steady, hint));
     }
 
     fn wake_at(&mut self, at: Micros) {
@@ -379,11 +372,7 @@
         for j in &touched.jobs {
             self.on_job_changed(*j);
         }
-        if touched.usage
-            || !touched.jobs.is_empty()
-            || !touched.groups.is_empty()
-            || !touched.own.is_empty()
-        {
+        if touched.usage || !touched.jobs.is_empty() || !touched.groups.is_empty() || !touched.own.is_empty() {
             self.rounds.look();
             self.fleet.look();
         }
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -71,10 +71,7 @@
     }
 
     fn me(&self) -> OwnRecord {
-        OwnRecord {
-            node: self.cfg.node.clone(),
-            run: self.run,
-        }
+        OwnRecord { node: self.cfg.node.clone(), run: self.run }
     }
 
     pub(super) fn pump_ownership(&mut self) {
@@ -165,11 +162,7 @@
             .collect();
         let txn = Txn {
             when: vec![(Key::Meta, 0)],
-            then: vec![Put {
-                key: Key::Meta,
-                value: encode(&MetaRecord { slices, teams }),
-                permit: None,
-            }],
+            then: vec![Put { key: Key::Meta, value: encode(&MetaRecord { slices, teams }), permit: None }],
         };
         self.budget.force(now, 1);
         self.ask_state(Purpose::Meta, StateRequest::Txn(txn));
@@ -195,11 +188,7 @@
         let key = Key::Node(self.cfg.node.clone());
         let txn = Txn {
             when: vec![(key.clone(), self.view.stamp(&key))],
-            then: vec![Put {
-                key,
-                value: encode(&NodeRecord { run: self.run }),
-                permit: Some(lease),
-            }],
+            then: vec![Put { key, value: encode(&NodeRecord { run: self.run }), permit: Some(lease) }],
         };
         self.ownership.writing = true;
         self.budget.force(now, 1);
@@ -225,10 +214,7 @@
         // At the very first start the others are about to appear as well.
         let first_start = self.view.own.iter().all(|o| o.value.is_none());
         let ready = self.ownership.ready_since.unwrap_or(now);
-        if first_start
-            && self.view.nodes.len() < self.cfg.controllers()
-            && now.since(ready) < Micros::secs(2)
-        {
+        if first_start && self.view.nodes.len() < self.cfg.controllers() && now.since(ready) < Micros::secs(2) {
             self.ownership.next_claim = now + Micros::millis(100);
             return;
         }
@@ -238,17 +224,10 @@
             return;
         }
         let node = Key::Node(self.cfg.node.clone());
-        let mut txn = Txn {
-            when: vec![(node.clone(), self.view.stamp(&node))],
-            then: Vec::new(),
-        };
+        let mut txn = Txn { when: vec![(node.clone(), self.view.stamp(&node))], then: Vec::new() };
         for k in &wanted {
             txn.when.push((Key::Own(*k), self.view.own[*k].stamp));
-            txn.then.push(Put {
-                key: Key::Own(*k),
-                value: encode(&self.me()),
-                permit: None,
-            });
+            txn.then.push(Put { key: Key::Own(*k), value: encode(&self.me()), permit: None });
         }
         tracing::info!(slices = ?wanted, why, "claiming");
         self.ownership.claiming = true;
@@ -266,8 +245,7 @@
         if !raise.is_empty() {
             return (raise, "to settle launches without an answer");
         }
-        let mut load: BTreeMap<&str, usize> =
-            self.view.nodes.keys().map(|n| (n.as_str(), 0)).collect();
+        let mut load: BTreeMap<&str, usize> = self.view.nodes.keys().map(|n| (n.as_str(), 0)).collect();
         let mut orphans = Vec::new();
         let mut mine_again = Vec::new();
         for k in 0..slices {
@@ -292,11 +270,7 @@
         }
         let mut wanted = Vec::new();
         for k in orphans {
-            let Some(least) = load
-                .iter()
-                .min_by_key(|(name, n)| (**n, **name))
-                .map(|(name, _)| *name)
-            else {
+            let Some(least) = load.iter().min_by_key(|(name, n)| (**n, **name)).map(|(name, _)| *name) else {
                 break;
             };
             if least == self.cfg.node {
@@ -315,12 +289,7 @@
         };
         if *most >= mine + 2 && now >= self.ownership.next_rebalance {
             let settled = now.since(self.ownership.ready_since.unwrap_or(now)) > Micros::secs(2);
-            let of_rich = (0..slices).find(|k| {
-                self.view.own[*k]
-                    .value
-                    .as_ref()
-                    .is_some_and(|o| o.node == *rich)
-            });
+            let of_rich = (0..slices).find(|k| self.view.own[*k].value.as_ref().is_some_and(|o| o.node == *rich));
             if let Some(k) = of_rich.filter(|_| settled) {
                 self.ownership.next_rebalance = now + Micros::millis(2_500);
                 return (vec![k], "to even out");
@@ -347,10 +316,8 @@
         let held = self.ownership.tenures[k].is_some();
         if mine && !held && stamp > self.ownership.lost[k] {
             tracing::info!(slice = k, term = stamp, "took over");
-            self.ownership.tenures[k] = Some(Tenure {
-                first: stamp,
-                since: self.now.steady,
-            });
+            self.counters.takeovers += 1;
+            self.ownership.tenures[k] = Some(Tenure { first: stamp, since: self.now.steady });
             self.begin_sessions(k);
             self.rounds.look();
         } else if mine && held {
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -72,10 +72,7 @@
                 self.view.clear();
                 self.reader.phase = Phase::Listing;
                 self.budget.force(now, 0);
-                self.ask_state(
-                    Purpose::Page { first: None },
-                    StateRequest::List { after: None },
-                );
+                self.ask_state(Purpose::Page { first: None }, StateRequest::List { after: None });
             }
             Phase::Listing => {}
             Phase::Listed | Phase::Ready => {
@@ -98,11 +95,7 @@
             self.wake_at(at);
             return;
         }
-        let wait = if self.reader.ready() {
-            Self::WATCH_WAIT
-        } else {
-            Micros::ZERO
-        };
+        let wait = if self.reader.ready() { Self::WATCH_WAIT } else { Micros::ZERO };
         let after = self.view.epoch;
         self.reader.watching = true;
         self.ask_state(Purpose::Watch, StateRequest::Changes { after, wait });
@@ -123,10 +116,7 @@
         }
         self.reader.wanted = false;
         self.reader.next_barrier = now + Self::BARRIER_SPACING;
-        let request = StateRequest::Changes {
-            after: self.view.epoch,
-            wait: Micros::ZERO,
-        };
+        let request = StateRequest::Changes { after: self.view.epoch, wait: Micros::ZERO };
         let id = self.ask_state(Purpose::Barrier, request);
         self.reader.barrier = Some(id);
     }
@@ -142,10 +132,7 @@
         let first = first.unwrap_or(epoch);
         if next.is_some() {
             self.budget.force(self.now.steady, 0);
-            self.ask_state(
-                Purpose::Page { first: Some(first) },
-                StateRequest::List { after: next },
-            );
+            self.ask_state(Purpose::Page { first: Some(first) }, StateRequest::List { after: next });
             return;
         }
         // Later pages may be newer than the first: only the changes since then make it one whole.
@@ -155,13 +142,7 @@
         self.reader.next_watch = self.now.steady;
     }
 
-    pub(super) fn on_changes(
-        &mut self,
-        id: CallId,
-        sent: Micros,
-        watch: bool,
-        result: Result<StateReply, CallError>,
-    ) {
+    pub(super) fn on_changes(&mut self, id: CallId, sent: Micros, watch: bool, result: Result<StateReply, CallError>) {
         let now = self.now.steady;
         if watch {
             self.reader.watching = false;
@@ -172,10 +153,7 @@
         match result {
             Ok(StateReply::Changes(changes, epoch)) => self.take_changes(id, sent, changes, epoch),
             Ok(StateReply::TooOld) => {
-                tracing::info!(
-                    epoch = self.view.epoch,
-                    "the copy is too old, reading everything anew"
-                );
+                tracing::info!(epoch = self.view.epoch, "the copy is too old, reading everything anew");
                 self.lose_all_tenures();
                 self.reader.phase = Phase::Empty;
             }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -13,6 +13,7 @@
 use crate::bookkeeping::view::{Change, Job, Touched};
 use crate::protocol::settings::ObjectiveKind;
 use crate::protocol::state::{CallError, StateReply, StateRequest};
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A round that waits for its answer.
@@ -24,6 +25,17 @@
     cleared: usize,
 }
 
+/// A round that is ready to be sent.
+struct Drafted {
+    commit: Commit,
+    booked: Vec<(Claim, u64)>,
+    cleared: usize,
+}
+
+/// What comes first: work within its team's guarantee, then the urgent, then what must start
+/// soonest, then the oldest.
+type Precedence = (bool, Urgency, Micros, Micros);
+
 /// What waits to be committed.
 #[derive(Debug, Default)]
 pub struct Rounds {
@@ -53,10 +65,22 @@
         self.looking = true;
     }
 
-    /// Wants a booking cleared; false if that was wanted already.
+    /// Wants a booking cleared; false if that was wanted already. The first outcome stands: silence
+    /// proves less than the end that was seen before it.
     pub fn clear(&mut self, m: MachineId, a: Attempt, outcome: Outcome) -> bool {
         self.looking = true;
-        self.clears.insert((m, a), outcome).is_none()
+        match self.clears.entry((m, a)) {
+            Entry::Occupied(_) => false,
+            Entry::Vacant(e) => {
+                e.insert(outcome);
+                true
+            }
+        }
+    }
+
+    /// Whether a booking is to be cleared; its attempt must not be launched again.
+    pub fn clearing(&self, m: MachineId, a: Attempt) -> bool {
+        self.clears.contains_key(&(m, a))
     }
 
     /// Wants a machine's record changed.
@@ -140,11 +164,7 @@
 
     pub(super) fn pump_rounds(&mut self) {
         let now = self.now.steady;
-        if !self.rounds.looking
-            || self.rounds.in_flight
-            || self.rounds.held()
-            || !self.reader.ready()
-        {
+        if !self.rounds.looking || self.rounds.in_flight || self.rounds.held() || !self.reader.ready() {
             return;
         }
         if now < self.rounds.next {
@@ -164,49 +184,33 @@
                 return;
             }
         };
-        let limits = Limits {
-            ops,
-            conditions: self.cfg.txn_ops * 4,
-            value_bytes: self.cfg.value_bytes,
-        };
-        let Some((commit, booked, cleared)) = self.draft_round(limits) else {
+        let limits = Limits { ops, conditions: self.cfg.txn_ops * 4, value_bytes: self.cfg.value_bytes };
+        let Some(Drafted { commit, booked, cleared }) = self.draft_round(limits) else {
             self.rounds.looking = false;
             return;
         };
         self.budget.force(now, commit.txn.then.len());
         self.rounds.next = now + Micros::millis(self.op.round_ms);
         self.rounds.in_flight = true;
-        let in_flight = InFlight {
-            changes: commit.changes,
-            ended: commit.ended,
-            booked,
-            cleared,
-        };
-        self.ask_state(
-            Purpose::Round(Box::new(in_flight)),
-            StateRequest::Txn(commit.txn),
-        );
+        let in_flight = InFlight { changes: commit.changes, ended: commit.ended, booked, cleared };
+        self.ask_state(Purpose::Round(Box::new(in_flight)), StateRequest::Txn(commit.txn));
     }
 
-    fn draft_round(&mut self, limits: Limits) -> Option<(Commit, Vec<(Claim, u64)>, usize)> {
+    fn draft_round(&mut self, limits: Limits) -> Option<Drafted> {
         // What the copy shows as carried out already is not wanted any more.
         let view = &self.view;
-        let has = |m: MachineId, a: &Attempt| {
-            view.place(a.task)
-                .is_some_and(|p| p.machine == m && p.number == a.number)
-        };
+        let has =
+            |m: MachineId, a: &Attempt| view.place(a.task).is_some_and(|p| p.machine == m && p.number == a.number);
         self.rounds.clears.retain(|(m, a), _| has(*m, a));
         self.rounds.marks.retain(|m, mark| {
-            view.machine(*m).is_some_and(|r| {
-                r.fitness != Fitness::Releasing && (r.fitness, r.dead) != (mark.fitness, mark.dead)
-            })
+            view.machine(*m)
+                .is_some_and(|r| r.fitness != Fitness::Releasing && (r.fitness, r.dead) != (mark.fitness, mark.dead))
         });
         self.rounds.adds.retain(|m| view.machine(*m).is_none());
         self.rounds.gone.retain(|m| view.machine(*m).is_some());
         self.rounds.releasing.retain(|m| {
-            view.machine(*m).is_some_and(|r| {
-                r.fitness == Fitness::Lost || r.fitness != Fitness::Releasing && r.tasks.is_empty()
-            })
+            view.machine(*m)
+                .is_some_and(|r| r.fitness == Fitness::Lost || r.fitness != Fitness::Releasing && r.tasks.is_empty())
         });
 
         let mut draft = Draft::new(view, limits);
@@ -240,19 +244,14 @@
             }
         }
         for m in &self.rounds.releasing {
-            let mark = Mark {
-                fitness: Fitness::Releasing,
-                dead: 0,
-            };
+            let mark = Mark { fitness: Fitness::Releasing, dead: 0 };
             draft.mark(view.machine_slice(*m), *m, mark, 0);
         }
         let ended: Vec<JobId> = view
             .jobs
             .iter()
             .filter(|(id, j)| {
-                j.record.cancelled
-                    && view.booked(**id).is_none()
-                    && self.owns(view.job_slice(**id, j.spec()))
+                j.record.cancelled && view.booked(**id).is_none() && self.owns(view.job_slice(**id, j.spec()))
             })
             .map(|(id, _)| *id)
             .collect();
@@ -260,7 +259,7 @@
             draft.end_cancelled(id);
         }
         let booked = self.book(&mut draft);
-        (!draft.is_empty()).then(|| (draft.commit(), booked, cleared))
+        (!draft.is_empty()).then(|| Drafted { commit: draft.commit(), booked, cleared })
     }
 
     /// Plans on the copy as the draft would leave it, and books what the draft can take.
@@ -279,9 +278,7 @@
             let spec = job.spec();
             let k = self.view.job_slice(id, spec);
             let team = self.cfg.team(&spec.crew);
-            let used = *left
-                .entry(&spec.crew)
-                .or_insert_with(|| draft.used(k, &spec.crew));
+            let used = *left.entry(&spec.crew).or_insert_with(|| draft.used(k, &spec.crew));
             let limit = |most: Option<u64>, used: u64, need: u64| match most {
                 Some(most) if need > 0 => most.saturating_sub(used) / need,
                 _ => u64::MAX,
@@ -294,9 +291,7 @@
             if most == 0 {
                 continue;
             }
-            let whole = spec.standing
-                && self.view.booked(id).is_none()
-                && (spec.pieces as usize) <= Self::CLAIMS;
+            let whole = spec.standing && self.view.booked(id).is_none() && (spec.pieces as usize) <= Self::CLAIMS;
             let cap = (Self::CLAIMS - wanted).max(if whole { spec.pieces as usize } else { 0 });
             let tasks: Vec<u32> = self.view.pending(id, job).take(cap).collect();
             wanted += tasks.len();
@@ -305,15 +300,7 @@
                 u.0 += n * spec.need.cores;
                 u.1 += n * spec.need.accelerators;
             }
-            asks.push(Ask {
-                job: id,
-                spec,
-                tasks,
-                zones: self.zones_of(id),
-                most,
-                whole,
-                avoid: &job.record.avoid,
-            });
+            asks.push(Ask { job: id, spec, tasks, zones: self.zones_of(id), most, whole, avoid: &job.record.avoid });
         }
         let view = &self.view;
         let mut slots: Vec<Slot<'_>> = Vec::new();
@@ -346,10 +333,7 @@
             let set: Vec<(Slice, MachineId, Attempt)> = of_job
                 .iter()
                 .map(|c| {
-                    let task = TaskId {
-                        job: c.job,
-                        index: c.index,
-                    };
+                    let task = TaskId { job: c.job, index: c.index };
                     (c.slice, c.machine, Attempt { task, number })
                 })
                 .collect();
@@ -383,7 +367,7 @@
 
     /// This controller's jobs with tasks to place, the most pressing first.
     fn jobs_in_order(&self) -> Vec<(JobId, &Job)> {
-        let mut jobs: Vec<((bool, Urgency, Micros, Micros), JobId, &Job)> = Vec::new();
+        let mut jobs: Vec<(Precedence, JobId, &Job)> = Vec::new();
         for (id, job) in &self.view.jobs {
             if job.record.cancelled || self.view.pending_count(*id, job) == 0 {
                 continue;
@@ -397,15 +381,9 @@
                 let used = self.view.usage[k].value.of(&spec.crew);
                 t.has_share()
                     && (used.0 + spec.need.cores > t.guarantee.0
-                        || spec.need.accelerators > 0
-                            && used.1 + spec.need.accelerators > t.guarantee.1)
+                        || spec.need.accelerators > 0 && used.1 + spec.need.accelerators > t.guarantee.1)
             });
-            let key = (
-                borrows,
-                spec.urgency,
-                self.latest_start(job),
-                job.record.submitted,
-            );
+            let key = (borrows, spec.urgency, self.latest_start(job), job.record.submitted);
             jobs.push((key, *id, job));
         }
         jobs.sort_by(|a, b| (&a.0, a.1).cmp(&(&b.0, b.1)));
@@ -425,14 +403,10 @@
     /// Within what time the objectives want jobs like this one done.
     fn finish_aim(&self, spec: &JobSpec) -> Option<Micros> {
         let of_class = |class: &Option<String>| class.as_ref().is_none_or(|c| *c == spec.lane);
-        self.cfg
-            .objectives
-            .iter()
-            .filter(|o| of_class(&o.class))
-            .find_map(|o| match o.kind {
-                ObjectiveKind::Finished(t) => Some(t),
-                _ => None,
-            })
+        self.cfg.objectives.iter().filter(|o| of_class(&o.class)).find_map(|o| match o.kind {
+            ObjectiveKind::Finished(t) => Some(t),
+            _ => None,
+        })
     }
 
     /// A job that fails wherever it runs is retried ever more slowly.
@@ -442,10 +416,7 @@
             return false;
         }
         let pause = Micros::secs(1 << (failures - 3).min(6));
-        self.rounds
-            .failed
-            .get(&id)
-            .is_some_and(|(_, at)| self.now.steady.since(*at) < pause)
+        self.rounds.failed.get(&id).is_some_and(|(_, at)| self.now.steady.since(*at) < pause)
     }
 
     pub(super) fn on_round(&mut self, round: InFlight, result: Result<StateReply, CallError>) {
@@ -458,11 +429,7 @@
                 self.counters.booked += round.booked.len() as u64;
                 self.counters.cleared += round.cleared as u64;
                 for (c, number) in &round.booked {
-                    let k = self
-                        .view
-                        .jobs
-                        .get(&c.job)
-                        .map(|j| self.view.job_slice(c.job, j.spec()));
+                    let k = self.view.jobs.get(&c.job).map(|j| self.view.job_slice(c.job, j.spec()));
                     let term = k.map_or(0, |k| self.view.stamp(&Key::Own(k)));
                     tracing::info!(task = %TaskId { job: c.job, index: c.index }, attempt = number,
                         machine = %c.machine, term, "booked");
@@ -487,9 +454,7 @@
                 self.rounds.hold_epoch = epoch;
                 self.reader.want_barrier();
             }
-            Err(CallError::Unavailable | CallError::TooMany) => {
-                self.rounds.next = now + Micros::millis(250)
-            }
+            Err(CallError::Unavailable | CallError::TooMany) => self.rounds.next = now + Micros::millis(250),
             _ => {
                 self.counters.unknown += 1;
                 tracing::info!(claims = round.booked.len(), "the round had no answer");
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -34,8 +34,7 @@
     seen: Vec<(Attempt, TaskState)>,
     launched: BTreeSet<Attempt>,
     started: BTreeMap<Attempt, Micros>,
-    /// Attempts that are being cleared as absent and must never be launched again.
-    condemned: BTreeSet<Attempt>,
+
     /// Sessions up to this one are never answered 200 again.
     refused: u64,
     recall_at: Option<Micros>,
@@ -61,7 +60,7 @@
             seen: Vec::new(),
             launched: BTreeSet::new(),
             started: BTreeMap::new(),
-            condemned: BTreeSet::new(),
+
             refused: 0,
             recall_at: None,
             direct: None,
@@ -75,8 +74,7 @@
 
     /// Whether no launch of the attempt can still be on its way by a direct command.
     fn settled(&self, a: &Attempt) -> bool {
-        !self.unsettled.iter().any(|(u, _, _)| u == a)
-            && self.direct.as_ref().is_none_or(|d| !d.launches.contains(a))
+        !self.unsettled.iter().any(|(u, _, _)| u == a) && self.direct.as_ref().is_none_or(|d| !d.launches.contains(a))
     }
 
     fn sees(&self, a: &Attempt) -> Option<TaskState> {
@@ -158,12 +156,7 @@
         let k = self.view.machine_slice(report.machine);
         if !self.owns(k) {
             let owner = self.view.own[k].value.as_ref().filter(|o| {
-                o.node != self.cfg.node
-                    && self
-                        .view
-                        .nodes
-                        .get(&o.node)
-                        .is_some_and(|n| n.value.run == o.run)
+                o.node != self.cfg.node && self.view.nodes.get(&o.node).is_some_and(|n| n.value.run == o.run)
             });
             return match owner {
                 Some(o) => ReportAnswer::Elsewhere(Some(o.node.clone())),
@@ -190,10 +183,7 @@
         }
         session.answered = Some(self.now.steady);
         if report.order <= session.order {
-            return ReportAnswer::Orders {
-                baton,
-                orders: Vec::new(),
-            };
+            return ReportAnswer::Orders { baton, orders: Vec::new() };
         }
         self.take_report(k, report);
         let orders = self.orders(k, report.machine, true);
@@ -219,16 +209,14 @@
         s.order = report.order;
         s.heard |= report.baton >= tenure.first;
         s.seen.clone_from(&report.tasks);
-        s.unsettled
-            .retain(|(_, baton, session)| report.baton <= *baton && report.session() <= *session);
+        s.unsettled.retain(|(_, baton, session)| report.baton <= *baton && report.session() <= *session);
         for (a, state) in &report.tasks {
             if *state == TaskState::Running {
                 s.started.entry(*a).or_insert(now);
             }
         }
         if s.started.len() > report.tasks.len() {
-            s.started
-                .retain(|a, _| report.tasks.iter().any(|(t, _)| t == a));
+            s.started.retain(|a, _| report.tasks.iter().any(|(t, _)| t == a));
         }
         let recall_at = report.recall.map(|r| now + r);
         if recall_at.is_some() && s.recall_at.is_none() {
@@ -246,13 +234,7 @@
                     Fitness::Up
                 };
                 if wanted != r.fitness {
-                    self.rounds.mark(
-                        report.machine,
-                        Mark {
-                            fitness: wanted,
-                            dead: r.dead,
-                        },
-                    );
+                    self.rounds.mark(report.machine, Mark { fitness: wanted, dead: r.dead });
                 }
             }
         }
@@ -303,9 +285,7 @@
                     let job = self.view.jobs.get(&a.task.job);
                     if job.is_none_or(|j| j.record.cancelled) {
                         orders.push(Order::Stop(*a, Micros::ZERO));
-                    } else if let (Some(at), Some(job), TaskState::Running) =
-                        (s.recall_at, job, state)
-                    {
+                    } else if let (Some(at), Some(job), TaskState::Running) = (s.recall_at, job, state) {
                         let spec = job.spec();
                         let left = at.since(now);
                         let ran = s.started.get(a).map_or(Micros::ZERO, |t| now.since(*t));
@@ -331,13 +311,13 @@
         }
         for b in booked {
             let a = b.attempt();
-            if s.sees(&a).is_some() || s.condemned.contains(&a) {
+            // What is being cleared is never launched again in this tenure: the commit may be applied
+            // at any time, and the task be booked elsewhere. A session may end in between.
+            if s.sees(&a).is_some() || self.rounds.clearing(machine, a) {
                 continue;
             }
             let job = self.view.jobs.get(&a.task.job);
-            let unwanted = job.is_none_or(|j| j.record.cancelled)
-                || fitness != Fitness::Up
-                || s.recall_at.is_some();
+            let unwanted = job.is_none_or(|j| j.record.cancelled) || fitness != Fitness::Up || s.recall_at.is_some();
             if !unwanted {
                 s.launched.insert(a);
                 if in_answer {
@@ -350,7 +330,6 @@
                 // Any earlier launch answered an earlier report, and that answer has been taken or
                 // given up by now; only a direct one can still come.
                 if s.settled(&a) {
-                    s.condemned.insert(a);
                     self.rounds.clear(machine, a, Outcome::Again);
                 } else {
                     self.ownership.raise_later(k, s.unsettled_since, now);
@@ -372,7 +351,7 @@
             if r.tasks.iter().any(|b| !s.launched.contains(&b.attempt())) {
                 s.wants_direct = true;
             }
-            s.condemned.retain(|a| r.tasks.contains(&Booking::of(*a)));
+
             s.launched.retain(|a| r.tasks.contains(&Booking::of(*a)));
         }
         let gone: Vec<MachineId> = self
@@ -402,12 +381,8 @@
                 }
             }
         }
-        let machines: Vec<MachineId> = self
-            .view
-            .booked(job)
-            .into_iter()
-            .flat_map(|tasks| tasks.values().map(|p| p.machine))
-            .collect();
+        let machines: Vec<MachineId> =
+            self.view.booked(job).into_iter().flat_map(|tasks| tasks.values().map(|p| p.machine)).collect();
         for m in machines {
             if let Some(s) = self.sessions.get_mut(&m) {
                 s.wants_direct = true;
@@ -417,12 +392,8 @@
 
     pub(super) fn pump_sessions(&mut self) {
         let now = self.now.steady;
-        let ready: Vec<MachineId> = self
-            .sessions
-            .iter()
-            .filter(|(_, s)| s.wants_direct && s.direct.is_none())
-            .map(|(m, _)| *m)
-            .collect();
+        let ready: Vec<MachineId> =
+            self.sessions.iter().filter(|(_, s)| s.wants_direct && s.direct.is_none()).map(|(m, _)| *m).collect();
         for m in ready {
             let k = self.view.machine_slice(m);
             let contact = self.contact_age();
@@ -452,7 +423,7 @@
                     && seen.is_none()
                     && record.fitness == Fitness::Up
                     && s.recall_at.is_none()
-                    && !s.condemned.contains(&a)
+                    && !self.rounds.clearing(m, a)
                     && s.launched.insert(a)
                 {
                     orders.push(Order::Launch(a));
@@ -468,28 +439,13 @@
             let endpoint = s.endpoint.clone();
             let call = self.call(Purpose::Direct(m));
             if let Some(s) = self.sessions.get_mut(&m) {
-                s.direct = Some(Direct {
-                    call,
-                    baton,
-                    session,
-                    launches,
-                });
+                s.direct = Some(Direct { call, baton, session, launches });
             }
-            self.out.push(Effect::Direct {
-                call,
-                endpoint,
-                body,
-                limit: Self::DIRECT_LIMIT,
-            });
+            self.out.push(Effect::Direct { call, endpoint, body, limit: Self::DIRECT_LIMIT });
         }
     }
 
-    pub(super) fn on_direct(
-        &mut self,
-        call: CallId,
-        machine: MachineId,
-        result: Option<(bool, Report)>,
-    ) {
+    pub(super) fn on_direct(&mut self, call: CallId, machine: MachineId, result: Option<(bool, Report)>) {
         let now = self.now.steady;
         let k = self.view.machine_slice(machine);
         let Some(s) = self.sessions.get_mut(&machine) else {
@@ -551,32 +507,16 @@
                 }
                 if dead < s.refused {
                     let fitness = fitness.max(Fitness::Lost);
-                    self.rounds.mark(
-                        m,
-                        Mark {
-                            fitness,
-                            dead: s.refused,
-                        },
-                    );
+                    self.rounds.mark(m, Mark { fitness, dead: s.refused });
                 }
                 for a in booked {
                     self.rounds.clear(m, a, Outcome::Again);
                 }
             } else {
-                let limit = if s.answered.is_some() {
-                    suspicious
-                } else {
-                    silence + suspicious
-                };
+                let limit = if s.answered.is_some() { suspicious } else { silence + suspicious };
                 if quiet > limit && fitness < Fitness::Lost {
                     tracing::info!(machine = %m, quiet = %quiet, "silent, takes no more work");
-                    self.rounds.mark(
-                        m,
-                        Mark {
-                            fitness: Fitness::Lost,
-                            dead,
-                        },
-                    );
+                    self.rounds.mark(m, Mark { fitness: Fitness::Lost, dead });
                 }
             }
         }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -55,10 +55,10 @@
     pub fn remember(&mut self, id: JobId, f: FinalRecord) {
         if self.ended.insert(id, f).is_none() {
             self.ended_order.push_back(id);
-            if self.ended_order.len() > Self::REMEMBERED {
-                if let Some(old) = self.ended_order.pop_front() {
-                    self.ended.remove(&old);
-                }
+            if self.ended_order.len() > Self::REMEMBERED
+                && let Some(old) = self.ended_order.pop_front()
+            {
+                self.ended.remove(&old);
             }
         }
     }
@@ -69,16 +69,7 @@
 }
 
 fn final_answer(id: JobId, f: FinalRecord) -> JobAnswer {
-    JobAnswer {
-        id,
-        status: if f.cancelled {
-            JobStatus::Cancelled
-        } else {
-            JobStatus::Done
-        },
-        done: f.done,
-        running: 0,
-    }
+    JobAnswer { id, status: if f.cancelled { JobStatus::Cancelled } else { JobStatus::Done }, done: f.done, running: 0 }
 }
 
 impl Controller {
@@ -98,12 +89,7 @@
             (false, 0) => JobStatus::Queued,
             _ => JobStatus::Running,
         };
-        Some(JobAnswer {
-            id,
-            status,
-            done: job.record.done(),
-            running,
-        })
+        Some(JobAnswer { id, status, done: job.record.done(), running })
     }
 
     /// Why a job could never run; `None` also while that is not known.
@@ -115,11 +101,7 @@
             return Some("a task fits no allowed machine type");
         }
         let team = self.cfg.team(&spec.crew)?;
-        let tasks = if spec.standing {
-            u64::from(spec.pieces)
-        } else {
-            1
-        };
+        let tasks = if spec.standing { u64::from(spec.pieces) } else { 1 };
         let need = spec.need.times(tasks);
         (!team.allows(need.cores, need.accelerators)).then_some("more than the team's limit")
     }
@@ -139,23 +121,13 @@
     }
 
     fn take_request(&mut self, call: CallId, id: JobId, wish: Wish) {
-        let mut w = Waiting {
-            call,
-            id,
-            wish,
-            since: self.now.steady,
-            day: self.now.day,
-            after: self.next_call,
-            tries: 0,
-        };
+        let mut w =
+            Waiting { call, id, wish, since: self.now.steady, day: self.now.day, after: self.next_call, tries: 0 };
         if let Some(f) = self.users.ended.get(&id) {
             let answer = final_answer(id, *f);
             return self.answer(&w, UserAnswer::Is(answer));
         }
-        if !self.reader.ready()
-            || self.contact_age() > Self::BLIND
-            || self.users.waiting() >= Users::WAITING
-        {
+        if !self.reader.ready() || self.contact_age() > Self::BLIND || self.users.waiting() >= Users::WAITING {
             return self.answer(&w, Self::LATER);
         }
         let live = self.view.jobs.get(&id);
@@ -273,11 +245,7 @@
             }
             txn.when.push((Key::Job(w.id), 0));
             txn.when.push((Key::Final(w.id), 0));
-            txn.then.push(Put {
-                key: Key::Job(w.id),
-                value,
-                permit: None,
-            });
+            txn.then.push(Put { key: Key::Job(w.id), value, permit: None });
             sent.push(w);
         }
         if !sent.is_empty() {
@@ -285,11 +253,7 @@
         }
     }
 
-    pub(super) fn on_submitted(
-        &mut self,
-        batch: Vec<Waiting>,
-        result: Result<StateReply, CallError>,
-    ) {
+    pub(super) fn on_submitted(&mut self, batch: Vec<Waiting>, result: Result<StateReply, CallError>) {
         match result {
             Ok(StateReply::Applied(epoch)) => {
                 let mut touched = Touched::default();
@@ -311,12 +275,7 @@
                     if let Wish::Submit(spec) = &w.wish {
                         tracing::info!(job = %w.id, lane = spec.lane, crew = spec.crew, pieces = spec.pieces, "accepted");
                     }
-                    let answer = JobAnswer {
-                        id: w.id,
-                        status: JobStatus::Queued,
-                        done: 0,
-                        running: 0,
-                    };
+                    let answer = JobAnswer { id: w.id, status: JobStatus::Queued, done: 0, running: 0 };
                     self.answer(w, UserAnswer::Accepted(answer));
                 }
                 self.on_touched_view(&touched);
@@ -348,11 +307,7 @@
         record.cancelled = true;
         let txn = Txn {
             when: vec![(Key::Job(w.id), job.stamp)],
-            then: vec![Put {
-                key: Key::Job(w.id),
-                value: encode(&record),
-                permit: None,
-            }],
+            then: vec![Put { key: Key::Job(w.id), value: encode(&record), permit: None }],
         };
         self.ask_state(Purpose::Abort(w), StateRequest::Txn(txn));
     }
@@ -361,21 +316,13 @@
         match result {
             Ok(StateReply::Applied(epoch)) => {
                 tracing::info!(job = %w.id, "cancelled by its user");
-                let mut answer = JobAnswer {
-                    id: w.id,
-                    status: JobStatus::Cancelled,
-                    done: 0,
-                    running: 0,
-                };
+                let mut answer = JobAnswer { id: w.id, status: JobStatus::Cancelled, done: 0, running: 0 };
                 if let Some(job) = self.view.jobs.get(&w.id) {
                     let mut record = job.record.clone();
                     record.cancelled = true;
                     answer.done = record.done();
-                    let change = Change {
-                        key: Key::Job(w.id),
-                        content: Some(Content::Job(Box::new(record))),
-                        stamp: epoch,
-                    };
+                    let change =
+                        Change { key: Key::Job(w.id), content: Some(Content::Job(Box::new(record))), stamp: epoch };
                     let mut touched = Touched::default();
                     self.view.apply([change], &mut touched);
                     self.on_touched_view(&touched);
@@ -399,18 +346,15 @@
         if self.users.reads.is_empty() {
             return;
         }
-        let (ready, still): (Vec<Waiting>, Vec<Waiting>) = std::mem::take(&mut self.users.reads)
-            .into_iter()
-            .partition(|w| self.reader.passed(w.after));
+        let (ready, still): (Vec<Waiting>, Vec<Waiting>) =
+            std::mem::take(&mut self.users.reads).into_iter().partition(|w| self.reader.passed(w.after));
         self.users.reads = still;
         if !self.users.reads.is_empty() {
             self.reader.want_barrier();
         }
         for w in ready {
             match (self.live_answer(w.id), &w.wish) {
-                (Some(a), Wish::Abort) if a.status != JobStatus::Cancelled => {
-                    self.users.aborts.push(w)
-                }
+                (Some(a), Wish::Abort) if a.status != JobStatus::Cancelled => self.users.aborts.push(w),
                 (Some(a), _) => self.answer(&w, UserAnswer::Is(a)),
                 (None, _) => match self.users.ended.get(&w.id) {
                     Some(f) => {
@@ -425,15 +369,13 @@
 
     pub(super) fn on_final(&mut self, w: Waiting, result: Result<StateReply, CallError>) {
         match result {
-            Ok(StateReply::Value(Some(value))) => {
-                match serde_json::from_str::<FinalRecord>(value.get()) {
-                    Ok(f) => {
-                        self.users.remember(w.id, f);
-                        self.answer(&w, UserAnswer::Is(final_answer(w.id, f)));
-                    }
-                    Err(_) => self.answer(&w, Self::LATER),
+            Ok(StateReply::Value(Some(value))) => match serde_json::from_str::<FinalRecord>(value.get()) {
+                Ok(f) => {
+                    self.users.remember(w.id, f);
+                    self.answer(&w, UserAnswer::Is(final_answer(w.id, f)));
                 }
-            }
+                Err(_) => self.answer(&w, Self::LATER),
+            },
             Ok(StateReply::Value(None)) => match &w.wish {
                 Wish::Query | Wish::Abort => self.answer(&w, UserAnswer::Unknown),
                 Wish::Refuse(answer) => {
@@ -462,12 +404,7 @@
         };
         let mut late = Vec::new();
         let users = &mut self.users;
-        for queue in [
-            &mut users.submits,
-            &mut users.aborts,
-            &mut users.reads,
-            &mut users.finals,
-        ] {
+        for queue in [&mut users.submits, &mut users.aborts, &mut users.reads, &mut users.finals] {
             late.extend(queue.extract_if(.., |w| now.since(w.since) > limit(w)));
         }
         for w in late {
--- a/src/main.rs
+++ b/src/main.rs
@@ -45,10 +45,7 @@
 }
 
 fn load(cli: &Cli, config: Option<&str>) -> Result<(Option<Settings>, OperatorSettings), String> {
-    let settings = config
-        .map(Settings::load)
-        .transpose()
-        .map_err(|e| e.to_string())?;
+    let settings = config.map(Settings::load).transpose().map_err(|e| e.to_string())?;
     Ok((settings, operator_settings(cli.settings.as_deref())?))
 }
 
@@ -68,30 +65,16 @@
 
 fn run(settings: Settings, operator: OperatorSettings) -> Result<(), String> {
     start_log();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|e| e.to_string())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     runtime.block_on(async {
         let settings = Arc::new(settings);
         let seed = rand::random();
-        tracing::info!(
-            node = settings.node,
-            run = format!("{seed:016x}"),
-            "starting"
-        );
-        let node = Node::new(
-            Controller::new(Arc::clone(&settings), operator, seed),
-            &settings,
-        );
+        tracing::info!(node = settings.node, run = format!("{seed:016x}"), "starting");
+        let node = Node::new(Controller::new(Arc::clone(&settings), operator, seed), &settings);
         // Of the sockets, a quarter is for calls to others, and some for the peers.
         let serving = settings.connections / 2;
         tokio::spawn(server::serve(Arc::clone(&node), settings.bind, serving));
-        tokio::spawn(peers::listen(
-            Arc::clone(&node),
-            settings.back,
-            settings.others.len(),
-        ));
+        tokio::spawn(peers::listen(Arc::clone(&node), settings.back, settings.others.len()));
         for other in &settings.others {
             tokio::spawn(peers::tell(Arc::clone(&node), other.back));
         }
--- a/src/protocol/operator.rs
+++ b/src/protocol/operator.rs
@@ -25,12 +25,7 @@
 
 impl Default for OperatorSettings {
     fn default() -> Self {
-        OperatorSettings {
-            slices: 6,
-            round_ms: 150,
-            node_lease_ms: 3_000,
-            idle_s: None,
-        }
+        OperatorSettings { slices: 6, round_ms: 150, node_lease_ms: 3_000, idle_s: None }
     }
 }
 
@@ -39,28 +34,12 @@
     pub fn parse(text: &[u8]) -> Result<OperatorSettings, String> {
         let s: OperatorSettings = serde_json::from_slice(text).map_err(|e| e.to_string())?;
         let check = |field: &str, ok: bool, range: &str| {
-            if ok {
-                Ok(())
-            } else {
-                Err(format!("{field}: must be {range}"))
-            }
+            if ok { Ok(()) } else { Err(format!("{field}: must be {range}")) }
         };
         check("slices", (1..=64).contains(&s.slices), "1 to 64")?;
-        check(
-            "round_ms",
-            (10..=10_000).contains(&s.round_ms),
-            "10 to 10000",
-        )?;
-        check(
-            "node_lease_ms",
-            (1_000..=60_000).contains(&s.node_lease_ms),
-            "1000 to 60000",
-        )?;
-        check(
-            "idle_s",
-            s.idle_s.is_none_or(|t| (1.0..=86_400.0).contains(&t)),
-            "1 to 86400",
-        )?;
+        check("round_ms", (10..=10_000).contains(&s.round_ms), "10 to 10000")?;
+        check("node_lease_ms", (1_000..=60_000).contains(&s.node_lease_ms), "1000 to 60000")?;
+        check("idle_s", s.idle_s.is_none_or(|t| (1.0..=86_400.0).contains(&t)), "1 to 86400")?;
         Ok(s)
     }
 
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -134,15 +134,8 @@
     match request {
         StateRequest::Get(key) => ("GET", format!("/kv/{key}"), Vec::new()),
         StateRequest::List { after } => {
-            let after = after
-                .as_ref()
-                .map(|a| format!("&after={a}"))
-                .unwrap_or_default();
-            (
-                "GET",
-                format!("/kv?prefix={LIVE}{after}&most=1000"),
-                Vec::new(),
-            )
+            let after = after.as_ref().map(|a| format!("&after={a}")).unwrap_or_default();
+            ("GET", format!("/kv?prefix={LIVE}{after}&most=1000"), Vec::new())
         }
         StateRequest::Txn(txn) => ("POST", "/txn".to_owned(), txn.body()),
         StateRequest::Grant(life) => {
@@ -150,14 +143,9 @@
             ("POST", "/leases".to_owned(), body.to_string().into_bytes())
         }
         StateRequest::Touch(id) => ("POST", format!("/leases/{id}/touch"), Vec::new()),
-        StateRequest::Changes { after, wait } => (
-            "GET",
-            format!(
-                "/changes?prefix={LIVE}&after={after}&waitMs={}",
-                wait.as_millis()
-            ),
-            Vec::new(),
-        ),
+        StateRequest::Changes { after, wait } => {
+            ("GET", format!("/changes?prefix={LIVE}&after={after}&waitMs={}", wait.as_millis()), Vec::new())
+        }
     }
 }
 
@@ -165,30 +153,14 @@
     /// The body on the wire.
     pub fn body(&self) -> Vec<u8> {
         let wire = TxnWire {
-            when: self
-                .when
-                .iter()
-                .map(|(k, s)| WhenWire {
-                    key: k.to_string(),
-                    stamp: *s,
-                })
-                .collect(),
+            when: self.when.iter().map(|(k, s)| WhenWire { key: k.to_string(), stamp: *s }).collect(),
             then: self
                 .then
                 .iter()
                 .map(|p| {
                     let key = Some(p.key.to_string());
-                    let (write, remove) = if p.value.is_some() {
-                        (key, None)
-                    } else {
-                        (None, key)
-                    };
-                    ThenWire {
-                        write,
-                        remove,
-                        value: p.value.as_deref(),
-                        permit: p.permit,
-                    }
+                    let (write, remove) = if p.value.is_some() { (key, None) } else { (None, key) };
+                    ThenWire { write, remove, value: p.value.as_deref(), permit: p.permit }
                 })
                 .collect(),
         };
@@ -278,11 +250,7 @@
         Some(v) => Some(decode(&key, v)?),
         None => None,
     };
-    Some(Change {
-        key,
-        content,
-        stamp,
-    })
+    Some(Change { key, content, stamp })
 }
 
 /// Reads a response.
@@ -302,15 +270,8 @@
         (StateRequest::List { .. }, 200) => {
             let w: PageWire = serde_json::from_slice(body).map_err(bad)?;
             let next = w.items.last().filter(|_| w.more).map(|i| i.key.to_string());
-            let items = w
-                .items
-                .iter()
-                .filter_map(|i| change(&i.key, Some(i.value), i.stamp));
-            Ok(StateReply::Page {
-                items: items.collect(),
-                next,
-                epoch: w.epoch,
-            })
+            let items = w.items.iter().filter_map(|i| change(&i.key, Some(i.value), i.stamp));
+            Ok(StateReply::Page { items: items.collect(), next, epoch: w.epoch })
         }
         (StateRequest::Txn(_), 200) => {
             let w: EpochWire = serde_json::from_slice(body).map_err(bad)?;
@@ -321,9 +282,7 @@
             let keys = w.failed.iter().filter_map(|k| Key::parse(k)).collect();
             Ok(StateReply::Clash(keys, w.epoch))
         }
-        (StateRequest::Txn(t), 400) if t.then.iter().any(|p| p.permit.is_some()) => {
-            Ok(StateReply::NoLease)
-        }
+        (StateRequest::Txn(t), 400) if t.then.iter().any(|p| p.permit.is_some()) => Ok(StateReply::NoLease),
         (StateRequest::Grant(_), 200) => {
             let w: LeaseWire = serde_json::from_slice(body).map_err(bad)?;
             Ok(StateReply::Lease(w.permit))
--- a/src/protocol/user.rs
+++ b/src/protocol/user.rs
@@ -56,27 +56,15 @@
     if body.iter().find(|b| !b.is_ascii_whitespace()) != Some(&b'{') {
         return Err(BadSubmission::Malformed("not a JSON object".to_owned()));
     }
-    let s: Submission =
-        serde_json::from_slice(body).map_err(|e| BadSubmission::Malformed(e.to_string()))?;
-    let id = s
-        .name_id
-        .parse()
-        .map_err(|_| BadSubmission::Field("nameId"))?;
+    let s: Submission = serde_json::from_slice(body).map_err(|e| BadSubmission::Malformed(e.to_string()))?;
+    let id = s.name_id.parse().map_err(|_| BadSubmission::Field("nameId"))?;
     let text = |field, t: String| {
         let ok = !t.is_empty() && t.len() <= NAME_LIMIT;
-        if ok {
-            Ok(t)
-        } else {
-            Err(BadSubmission::Field(field))
-        }
+        if ok { Ok(t) } else { Err(BadSubmission::Field(field)) }
     };
     let number = |field, n: f64| {
         let ok = n.is_finite() && (0.0..=AMOUNT_LIMIT).contains(&n);
-        if ok {
-            Ok(n)
-        } else {
-            Err(BadSubmission::Field(field))
-        }
+        if ok { Ok(n) } else { Err(BadSubmission::Field(field)) }
     };
     let span = |field, n: f64| number(field, n).map(Micros::from_secs_f64);
     if s.pieces == 0 || s.pieces > PIECES_LIMIT {
@@ -157,12 +145,8 @@
 impl JobAnswer {
     /// The body.
     pub fn body(&self) -> Vec<u8> {
-        let answer = Answer {
-            name_id: self.id.to_string(),
-            status: self.status,
-            done: self.done,
-            running: self.running,
-        };
+        let answer =
+            Answer { name_id: self.id.to_string(), status: self.status, done: self.done, running: self.running };
         serde_json::to_vec(&answer).unwrap_or_default()
     }
 }
@@ -217,14 +201,9 @@
     fn takes_what_is_right() {
         let (id, spec) = parse_submission(GOOD.as_bytes()).unwrap();
         assert_eq!(id, JobId(412));
-        assert_eq!(
-            (spec.need.cores, spec.need.memory, spec.size),
-            (8_000, 64_500, 6_200)
-        );
+        assert_eq!((spec.need.cores, spec.need.memory, spec.size), (8_000, 64_500, 6_200));
         assert_eq!(spec.due, Some(Micros::secs(900)));
-        let nulls = GOOD
-            .replace("\"dueS\":900.0", "\"dueS\":null")
-            .replace("\"yard\":null,", "");
+        let nulls = GOOD.replace("\"dueS\":900.0", "\"dueS\":null").replace("\"yard\":null,", "");
         assert_eq!(parse_submission(nulls.as_bytes()).unwrap().1.due, None);
     }
 
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -36,10 +36,7 @@
             .pool_idle_timeout(Duration::from_secs(20))
             .pool_max_idle_per_host(4)
             .build(connector);
-        HttpClient {
-            inner,
-            calls: Semaphore::new(sockets),
-        }
+        HttpClient { inner, calls: Semaphore::new(sockets) }
     }
 
     /// Sends a request; `None` if there was no answer within `limit`.
@@ -61,15 +58,9 @@
         let exchange = async {
             let response = self.inner.request(request).await.ok()?;
             let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), BODY_LIMIT)
-                .collect()
-                .await
-                .ok()?;
+            let body = Limited::new(response.into_body(), BODY_LIMIT).collect().await.ok()?;
             Some((status, body.to_bytes()))
         };
-        tokio::time::timeout(Duration::from_micros(limit.0), exchange)
-            .await
-            .ok()
-            .flatten()
+        tokio::time::timeout(Duration::from_micros(limit.0), exchange).await.ok().flatten()
     }
 }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -35,11 +35,7 @@
     /// Wraps a controller.
     pub fn new(controller: Controller, settings: &Settings) -> Arc<Node> {
         Arc::new(Node {
-            inner: Mutex::new(Inner {
-                controller,
-                users: HashMap::new(),
-                next_call: 1,
-            }),
+            inner: Mutex::new(Inner { controller, users: HashMap::new(), next_call: 1 }),
             timer: Notify::new(),
             client: HttpClient::new(settings.connections / 4),
             clock: Clock::start(),
@@ -138,10 +134,7 @@
                     let node = Arc::clone(self);
                     tokio::spawn(async move {
                         let (method, path, body) = state::http(&request);
-                        let answer = node
-                            .client
-                            .call(&node.state, method, &path, body, limit)
-                            .await;
+                        let answer = node.client.call(&node.state, method, &path, body, limit).await;
                         let result = match answer {
                             Some((status, body)) => state::parse(&request, status, &body),
                             None => Err(CallError::Unknown),
@@ -153,10 +146,7 @@
                     let node = Arc::clone(self);
                     tokio::spawn(async move {
                         let (method, path, body) = cloud::http(&request);
-                        let answer = node
-                            .client
-                            .call(&node.cloud, method, &path, body, limit)
-                            .await;
+                        let answer = node.client.call(&node.cloud, method, &path, body, limit).await;
                         let result = match answer {
                             Some((status, body)) => cloud::parse(&request, status, &body),
                             None => Err(CallError::Unknown),
@@ -164,25 +154,15 @@
                         node.post(Event::Cloud(call, result));
                     });
                 }
-                Effect::Direct {
-                    call,
-                    endpoint,
-                    body,
-                    limit,
-                } => {
+                Effect::Direct { call, endpoint, body, limit } => {
                     let node = Arc::clone(self);
                     tokio::spawn(async move {
-                        let answer = node
-                            .client
-                            .call(&endpoint, "POST", "/commands", body, limit)
-                            .await;
+                        let answer = node.client.call(&endpoint, "POST", "/commands", body, limit).await;
                         // Any other status comes from a worker that has not carried it out either,
                         // but without a report nothing is known of it.
                         let result = answer
                             .filter(|(status, _)| matches!(status, 200 | 409))
-                            .and_then(|(status, body)| {
-                                Some((status == 200, Report::parse(&body)?))
-                            });
+                            .and_then(|(status, body)| Some((status == 200, Report::parse(&body)?)));
                         node.post(Event::Direct(call, result));
                     });
                 }
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -29,15 +29,10 @@
 
 /// The routes.
 pub fn service(node: &Arc<Node>) -> Service {
-    let end = |what| Endpoint {
-        node: Arc::clone(node),
-        what,
-    };
-    let work = Router::with_path("work").post(end(What::Submit)).push(
-        Router::with_path("{id}")
-            .get(end(What::Query))
-            .push(Router::with_path("abort").post(end(What::Abort))),
-    );
+    let end = |what| Endpoint { node: Arc::clone(node), what };
+    let work = Router::with_path("work")
+        .post(end(What::Submit))
+        .push(Router::with_path("{id}").get(end(What::Query)).push(Router::with_path("abort").post(end(What::Abort))));
     let router = Router::new()
         .push(work)
         .push(Router::with_path("v1/report").post(end(What::Report)))
@@ -83,11 +78,7 @@
             return;
         };
         let answer = match parse_submission(body) {
-            Ok((id, spec)) => {
-                self.node
-                    .user(UserRequest::Submit(id, Box::new(spec)))
-                    .await
-            }
+            Ok((id, spec)) => self.node.user(UserRequest::Submit(id, Box::new(spec))).await,
             Err(problem) => {
                 // A job that was accepted stays accepted, whatever a retry looks like.
                 let why = match &problem {
@@ -104,9 +95,7 @@
     }
 
     async fn about_job(&self, req: &mut Request, res: &mut Response) {
-        let id = req
-            .param::<String>("id")
-            .and_then(|id| id.parse::<JobId>().ok());
+        let id = req.param::<String>("id").and_then(|id| id.parse::<JobId>().ok());
         let answer = match (id, self.what) {
             // Nothing of such a name was ever accepted.
             (None, _) => UserAnswer::Unknown,
@@ -125,15 +114,9 @@
             None => ReportAnswer::Malformed,
         };
         match answer {
-            ReportAnswer::Orders { baton, orders } => {
-                json(res, StatusCode::OK, orders_body(baton, &orders))
-            }
+            ReportAnswer::Orders { baton, orders } => json(res, StatusCode::OK, orders_body(baton, &orders)),
             ReportAnswer::Elsewhere(owner) => {
-                json(
-                    res,
-                    StatusCode::MISDIRECTED_REQUEST,
-                    elsewhere_body(owner.as_deref()),
-                );
+                json(res, StatusCode::MISDIRECTED_REQUEST, elsewhere_body(owner.as_deref()));
             }
             ReportAnswer::Unavailable => json(res, StatusCode::SERVICE_UNAVAILABLE, b"{}".to_vec()),
             ReportAnswer::Malformed => json(res, StatusCode::BAD_REQUEST, b"{}".to_vec()),
@@ -158,12 +141,7 @@
             .unwrap_or(0),
     };
     if declared <= BODY_LIMIT {
-        match tokio::time::timeout(
-            Duration::from_secs(10),
-            req.payload_with_max_size(BODY_LIMIT),
-        )
-        .await
-        {
+        match tokio::time::timeout(Duration::from_secs(10), req.payload_with_max_size(BODY_LIMIT)).await {
             Ok(Ok(bytes)) => return Some(bytes),
             Ok(Err(_)) => {}
             Err(_) => {
@@ -178,18 +156,13 @@
 
 fn json(res: &mut Response, status: StatusCode, body: Vec<u8>) {
     res.status_code(status);
-    res.headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     // Only fails on a body that was set already.
     let _ = res.write_body(body);
 }
 
 fn problem(res: &mut Response, status: StatusCode, why: &str) {
-    json(
-        res,
-        status,
-        serde_json::json!({ "error": why }).to_string().into_bytes(),
-    );
+    json(res, status, serde_json::json!({ "error": why }).to_string().into_bytes());
 }
 
 fn user_answer(res: &mut Response, answer: UserAnswer) {
@@ -200,8 +173,7 @@
         UserAnswer::Never(why) => problem(res, StatusCode::UNPROCESSABLE_ENTITY, why),
         UserAnswer::Bad(why) => problem(res, StatusCode::BAD_REQUEST, why),
         UserAnswer::Later(seconds) => {
-            res.headers_mut()
-                .insert(RETRY_AFTER, HeaderValue::from(seconds));
+            res.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
             problem(res, StatusCode::SERVICE_UNAVAILABLE, "not now");
         }
     }
--- /dev/null
+++ b/tests/runner/check.rs
@@ -0,0 +1,179 @@
+//! Judges what workers do and what users are told, by the protocol's rules alone.
+
+use super::worker::{Deed, Task, task_name};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a user asked for, as far as the rules need it.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub team: String,
+    pub cores: f64,
+    pub pieces: u32,
+    pub builds: Option<Vec<String>>,
+    pub yard: Option<String>,
+    pub spot: bool,
+    pub one_zone: bool,
+    pub apart: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct MachineInfo {
+    pub build: String,
+    pub yard: String,
+    pub spot: bool,
+}
+
+#[derive(Default)]
+pub struct Checker {
+    pub broken: Vec<String>,
+    pub asked: BTreeMap<u64, Asked>,
+    pub limits: BTreeMap<String, f64>,
+    cancel: u64,
+    on: BTreeMap<Task, u64>,
+    done: BTreeMap<u64, BTreeSet<u32>>,
+    accepted: BTreeMap<u64, u64>,
+    told: BTreeMap<u64, &'static str>,
+    told_cancelled: BTreeMap<u64, u64>,
+    asked_abort: BTreeSet<u64>,
+    pub started: u64,
+}
+
+impl Checker {
+    pub fn new(cancel: u64) -> Checker {
+        Checker { cancel, ..Checker::default() }
+    }
+
+    fn rule(&mut self, now: u64, text: String) {
+        self.broken.push(format!("{:.3}: {text}", now as f64 / 1e6));
+    }
+
+    pub fn deed(
+        &mut self,
+        now: u64,
+        machine: u64,
+        info: &MachineInfo,
+        deed: &Deed,
+        machines: &BTreeMap<u64, MachineInfo>,
+    ) {
+        match deed {
+            Deed::Ended(t, why) => {
+                if self.on.get(t) == Some(&machine) {
+                    self.on.remove(t);
+                }
+                if *why == "done" {
+                    self.done.entry(t.0).or_default().insert(t.1);
+                }
+            }
+            Deed::Started(t) => {
+                self.started += 1;
+                if let Some(other) = self.on.insert(*t, machine)
+                    && other != machine
+                {
+                    self.rule(now, format!("ran_twice: {} starts on {machine} while on {other}", task_name(*t)));
+                }
+                let Some(asked) = self.asked.get(&t.0).cloned() else {
+                    return self.rule(now, format!("{} was never submitted", task_name(*t)));
+                };
+                let used: f64 = self
+                    .on
+                    .keys()
+                    .filter_map(|o| self.asked.get(&o.0))
+                    .filter(|a| a.team == asked.team)
+                    .map(|a| a.cores)
+                    .sum();
+                if let Some(limit) = self.limits.get(&asked.team).copied().filter(|l| *l > 0.0)
+                    && used > limit + 1e-6
+                {
+                    self.rule(now, format!("quota: {} uses {used} of {limit}", asked.team));
+                }
+                let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+                for (o, m) in &self.on {
+                    if o.0 == t.0 {
+                        *zones.entry(machines[m].yard.as_str()).or_default() += 1;
+                    }
+                }
+                let wrong = asked.builds.as_ref().is_some_and(|b| !b.contains(&info.build))
+                    || asked.yard.as_ref().is_some_and(|y| *y != info.yard)
+                    || info.spot && !asked.spot
+                    || asked.one_zone && zones.len() > 1
+                    || asked.apart && zones.values().any(|n| *n > asked.pieces.div_ceil(2));
+                if wrong {
+                    self.rule(now, format!("wrong_place: {} on {machine} {info:?} {zones:?}", task_name(*t)));
+                }
+                if self.told_cancelled.get(&t.0).is_some_and(|c| now > c + self.cancel) {
+                    self.rule(now, format!("ran_cancelled: {} starts", task_name(*t)));
+                }
+            }
+        }
+    }
+
+    /// Looks for tasks of cancelled jobs that are still there.
+    pub fn sweep(&mut self, now: u64) {
+        let late: Vec<Task> = self
+            .on
+            .keys()
+            .filter(|t| self.told_cancelled.get(&t.0).is_some_and(|c| now > c + self.cancel))
+            .copied()
+            .collect();
+        for t in late {
+            self.on.remove(&t);
+            self.rule(now, format!("ran_cancelled: {} is still there", task_name(t)));
+        }
+    }
+
+    pub fn asks_abort(&mut self, job: u64) {
+        self.asked_abort.insert(job);
+    }
+
+    /// A user was answered. `kind`: submit, query or abort.
+    pub fn told(&mut self, now: u64, asked: u64, kind: &str, job: u64, status: u16, state: Option<&str>) {
+        // A request that began before the job was accepted may be answered from before it.
+        let known = self.accepted.get(&job).is_some_and(|at| *at <= asked);
+        match status {
+            200 | 201 => {
+                if !self.asked.contains_key(&job) {
+                    return self.rule(now, format!("invented: req-{job:06}"));
+                }
+                self.accepted.entry(job).or_insert(now);
+                let state = match state {
+                    Some("done") => "done",
+                    Some("cancelled") => "cancelled",
+                    _ => "live",
+                };
+                let pieces = self.asked[&job].pieces as usize;
+                if state == "done" && self.done.get(&job).is_none_or(|d| d.len() < pieces) {
+                    self.rule(now, format!("not_done: req-{job:06}"));
+                }
+                if state == "cancelled" && !self.asked_abort.contains(&job) {
+                    self.rule(now, format!("went_back: req-{job:06} is cancelled by nobody"));
+                }
+                let before = self.told.insert(job, state).unwrap_or("live");
+                if before != "live" && before != state {
+                    self.rule(now, format!("went_back: req-{job:06} was {before}, is {state}"));
+                }
+                if state == "cancelled" {
+                    self.told_cancelled.entry(job).or_insert(now);
+                }
+            }
+            404 if known => self.rule(now, format!("forgotten: req-{job:06} gets 404 to a {kind}")),
+            400 | 422 if known => self.rule(now, format!("forgotten: req-{job:06} gets {status}")),
+            _ => {}
+        }
+    }
+
+    pub fn is_done(&self, job: u64) -> bool {
+        self.told.get(&job) == Some(&"done")
+    }
+
+    pub fn is_cancelled(&self, job: u64) -> bool {
+        self.told.get(&job) == Some(&"cancelled")
+    }
+
+    pub fn is_accepted(&self, job: u64) -> bool {
+        self.accepted.contains_key(&job)
+    }
+
+    pub fn open(&self) -> Vec<u64> {
+        self.accepted.keys().copied().filter(|j| !self.is_done(*j) && !self.is_cancelled(*j)).collect()
+    }
+}
--- /dev/null
+++ b/tests/runner/script.rs
@@ -0,0 +1,313 @@
+//! Scenario files: one statement a line, refused with its line number where it is not understood.
+
+use std::collections::BTreeMap;
+
+/// A party that a fault can name.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Party {
+    Node(usize),
+    Machine(u64),
+    Nodes,
+    Machines,
+    State,
+    Cloud,
+}
+
+impl Party {
+    fn parse(text: &str) -> Option<Party> {
+        Some(match text {
+            "state" => Party::State,
+            "cloud" => Party::Cloud,
+            "nodes" => Party::Nodes,
+            "machines" => Party::Machines,
+            _ => match (text.strip_prefix('n'), text.strip_prefix("i-")) {
+                (_, Some(m)) => Party::Machine(m.parse().ok()?),
+                (Some(n), _) => Party::Node(n.parse().ok()?),
+                _ => return None,
+            },
+        })
+    }
+
+    /// Whether a fault on `self` concerns `one`.
+    pub fn covers(&self, one: &Party) -> bool {
+        self == one || matches!((self, one), (Party::Nodes, Party::Node(_)) | (Party::Machines, Party::Machine(_)))
+    }
+}
+
+/// What a cut does to messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    Drop,
+    Hold,
+    /// Every message arrives twice.
+    Repeat,
+    /// Only answers are lost.
+    Deaf,
+}
+
+#[derive(Clone, Debug)]
+pub enum Step {
+    Submit { job: u64, fields: BTreeMap<String, String>, node: Option<usize> },
+    Abort { job: u64, node: Option<usize> },
+    Query { job: u64, node: Option<usize> },
+    Crash { node: Option<usize>, down: u64 },
+    Cut { a: Party, b: Party, mode: Mode, span: u64 },
+    Outage { party: Party, span: u64 },
+    Refuse { node: usize, span: u64 },
+    Hang { party: Party, span: u64 },
+    Take { machine: u64, notice: u64 },
+    Faulty { machine: u64 },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Expect {
+    Done(u64),
+    Cancelled(u64),
+    Unknown(u64),
+    AllDone,
+    Clashes,
+    Takeovers(u64),
+    LostLeases(u64),
+    FewerMachines(u64),
+}
+
+#[derive(Clone, Debug)]
+pub struct TypeSpec {
+    pub name: String,
+    pub cores: f64,
+    pub mem: f64,
+    pub boot: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub count: u32,
+    pub spot: u32,
+    pub stuck: f64,
+    pub zones: Vec<String>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Script {
+    pub seed: u64,
+    pub nodes: usize,
+    pub end: u64,
+    pub lease: f64,
+    pub report: f64,
+    pub cancel: f64,
+    pub lag: f64,
+    pub value_kb: f64,
+    pub chaos: u32,
+    pub load: u32,
+    pub teams: Vec<(String, f64, f64)>,
+    pub types: Vec<TypeSpec>,
+    pub steps: Vec<(u64, Step)>,
+    pub expects: Vec<Expect>,
+}
+
+fn micros(text: &str) -> Option<u64> {
+    let s: f64 = text.parse().ok()?;
+    (s >= 0.0).then_some((s * 1e6) as u64)
+}
+
+fn job(text: &str) -> Option<u64> {
+    text.strip_prefix("req-")?.parse().ok()
+}
+
+struct Words<'a> {
+    plain: Vec<&'a str>,
+    named: BTreeMap<&'a str, &'a str>,
+}
+
+impl<'a> Words<'a> {
+    fn of(line: &'a str) -> Words<'a> {
+        let (named, plain): (Vec<&str>, Vec<&str>) = line.split_whitespace().partition(|w| w.contains('='));
+        Words { plain, named: named.into_iter().filter_map(|w| w.split_once('=')).collect() }
+    }
+
+    fn take<T>(&mut self, key: &str, parse: impl Fn(&str) -> Option<T>) -> Result<Option<T>, String> {
+        match self.named.remove(key) {
+            None => Ok(None),
+            Some(v) => parse(v).map(Some).ok_or(format!("{key}={v} is not understood")),
+        }
+    }
+
+    fn need<T>(&mut self, key: &str, parse: impl Fn(&str) -> Option<T>) -> Result<T, String> {
+        self.take(key, parse)?.ok_or(format!("{key}= is missing"))
+    }
+
+    fn word<T>(&self, at: usize, parse: impl Fn(&str) -> Option<T>) -> Result<T, String> {
+        let text = self.plain.get(at).ok_or("a word is missing".to_owned())?;
+        parse(text).ok_or(format!("{text} is not understood"))
+    }
+
+    fn finish(self, plain: usize) -> Result<(), String> {
+        match (self.named.keys().next(), self.plain.get(plain)) {
+            (Some(k), _) => Err(format!("unknown key {k}")),
+            (_, Some(w)) => Err(format!("{w} is one word too many")),
+            _ => Ok(()),
+        }
+    }
+}
+
+const JOB_FIELDS: [&str; 20] = [
+    "pieces", "cores", "mem", "run", "guess", "team", "urgency", "due", "spot", "builds", "yard", "one_zone", "apart",
+    "image", "size", "shape", "fails", "lane", "bookmark", "stash",
+];
+
+impl Script {
+    pub fn parse(text: &str) -> Result<Script, String> {
+        let mut s = Script {
+            seed: 1,
+            nodes: 3,
+            end: 120_000_000,
+            lease: 10.0,
+            report: 1.0,
+            cancel: 35.0,
+            lag: 4.0,
+            value_kb: 16.0,
+            chaos: 0,
+            load: 0,
+            teams: Vec::new(),
+            types: Vec::new(),
+            steps: Vec::new(),
+            expects: Vec::new(),
+        };
+        for (n, line) in text.lines().enumerate() {
+            let line = line.split('#').next().unwrap_or_default().trim();
+            if !line.is_empty() {
+                s.line(line).map_err(|e| format!("line {}: {e}", n + 1))?;
+            }
+        }
+        if s.types.is_empty() {
+            s.line("type small cores=8 mem=32 boot=4 price=1 spot_price=0.4 count=8 spot=8")?;
+        }
+        s.steps.sort_by_key(|(at, _)| *at);
+        Ok(s)
+    }
+
+    fn line(&mut self, line: &str) -> Result<(), String> {
+        let mut w = Words::of(line);
+        let real = |t: &str| t.parse::<f64>().ok().filter(|v| *v >= 0.0);
+        let whole = |t: &str| t.parse::<u64>().ok();
+        let mut plain = 2;
+        match *w.plain.first().ok_or("a word is missing")? {
+            "seed" => self.seed = w.word(1, whole)?,
+            "nodes" => self.nodes = w.word(1, whole)? as usize,
+            "end" => self.end = w.word(1, micros)?,
+            "lease" => self.lease = w.word(1, real)?,
+            "report" => self.report = w.word(1, real)?,
+            "cancel" => self.cancel = w.word(1, real)?,
+            "lag" => self.lag = w.word(1, real)?,
+            "value_kb" => self.value_kb = w.word(1, real)?,
+            "chaos" => self.chaos = w.word(1, whole)? as u32,
+            "load" => self.load = w.word(1, whole)? as u32,
+            "team" => {
+                let name = w.word(1, |t| Some(t.to_owned()))?;
+                let guarantee = w.take("cores", real)?.unwrap_or(0.0);
+                let limit = w.take("most", real)?.unwrap_or(0.0);
+                self.teams.push((name, guarantee, limit));
+            }
+            "type" => {
+                let t = TypeSpec {
+                    name: w.word(1, |t| Some(t.to_owned()))?,
+                    cores: w.need("cores", real)?,
+                    mem: w.need("mem", real)?,
+                    boot: w.need("boot", real)?,
+                    price: w.need("price", real)?,
+                    spot_price: w.need("spot_price", real)?,
+                    count: w.need("count", whole)? as u32,
+                    spot: w.need("spot", whole)? as u32,
+                    stuck: w.take("stuck", real)?.unwrap_or(0.0),
+                    zones: w
+                        .take("zones", |t| Some(t.split(',').map(str::to_owned).collect()))?
+                        .unwrap_or_else(|| vec!["a".to_owned()]),
+                };
+                self.types.push(t);
+            }
+            "expect" => {
+                plain = 3;
+                let e = match *w.plain.get(1).ok_or("a word is missing")? {
+                    "done" => Expect::Done(w.word(2, job)?),
+                    "cancelled" => Expect::Cancelled(w.word(2, job)?),
+                    "unknown" => Expect::Unknown(w.word(2, job)?),
+                    "all-done" => Expect::AllDone,
+                    "clashes" => Expect::Clashes,
+                    "takeovers" => Expect::Takeovers(w.word(2, whole)?),
+                    "lost-leases" => Expect::LostLeases(w.word(2, whole)?),
+                    "machines-at-most" => Expect::FewerMachines(w.word(2, whole)?),
+                    other => return Err(format!("unknown expectation {other}")),
+                };
+                self.expects.push(e);
+            }
+            "at" => {
+                let at = w.word(1, micros)?;
+                let (step, words) = step(&mut w)?;
+                plain = words;
+                self.steps.push((at, step));
+            }
+            other => return Err(format!("unknown statement {other}")),
+        }
+        w.finish(plain)
+    }
+}
+
+fn step(w: &mut Words<'_>) -> Result<(Step, usize), String> {
+    let node = |t: &str| match Party::parse(t)? {
+        Party::Node(n) => Some(n),
+        _ => None,
+    };
+    let machine = |t: &str| match Party::parse(t)? {
+        Party::Machine(m) => Some(m),
+        _ => None,
+    };
+    let mode = |t: &str| {
+        Some(match t {
+            "drop" => Mode::Drop,
+            "hold" => Mode::Hold,
+            "repeat" => Mode::Repeat,
+            "deaf" => Mode::Deaf,
+            _ => return None,
+        })
+    };
+    let kind = *w.plain.get(2).ok_or("a fault is missing")?;
+    Ok(match kind {
+        "submit" => {
+            let to = w.take("node", node)?;
+            let mut fields = BTreeMap::new();
+            for f in JOB_FIELDS {
+                if let Some(v) = w.named.remove(f) {
+                    fields.insert(f.to_owned(), v.to_owned());
+                }
+            }
+            let job = w.word(3, job)?;
+            (Step::Submit { job, fields, node: to }, 4)
+        }
+        "abort" => (Step::Abort { job: w.word(3, job)?, node: w.take("node", node)? }, 4),
+        "query" => (Step::Query { job: w.word(3, job)?, node: w.take("node", node)? }, 4),
+        "crash" => {
+            let which = match w.word(3, Party::parse)? {
+                Party::Node(n) => Some(n),
+                Party::Nodes => None,
+                other => return Err(format!("{other:?} cannot crash")),
+            };
+            (Step::Crash { node: which, down: w.need("for", micros)? }, 4)
+        }
+        "cut" => {
+            let step = Step::Cut {
+                a: w.word(3, Party::parse)?,
+                b: w.word(4, Party::parse)?,
+                mode: w.need("mode", mode)?,
+                span: w.need("for", micros)?,
+            };
+            (step, 5)
+        }
+        "outage" => (Step::Outage { party: w.word(3, Party::parse)?, span: w.need("for", micros)? }, 4),
+        "refuse" => (Step::Refuse { node: w.word(3, node)?, span: w.need("for", micros)? }, 4),
+        "hang" => (Step::Hang { party: w.word(3, Party::parse)?, span: w.need("for", micros)? }, 4),
+        "take" => {
+            let notice = w.take("notice", micros)?.unwrap_or(0);
+            (Step::Take { machine: w.word(3, machine)?, notice }, 4)
+        }
+        "faulty" => (Step::Faulty { machine: w.word(3, machine)? }, 4),
+        other => return Err(format!("unknown fault {other}")),
+    })
+}
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,144 @@
+//! Plays every file in `tests/scenarios`, and a randomised sweep over a fixed list of seeds.
+
+mod runner;
+
+use runner::World;
+use runner::script::Script;
+use std::path::Path;
+
+/// Shows the controllers' log of a run; only useful with a single scenario or seed.
+fn show_log() {
+    if std::env::var("LOG_LEVEL").is_ok() {
+        let log = tracing_subscriber::fmt().with_max_level(tracing::Level::DEBUG).with_writer(std::io::stderr);
+        let _ = log.without_time().with_target(false).with_ansi(false).try_init();
+    }
+}
+
+fn play(script: Script) -> (World, Vec<String>) {
+    show_log();
+    let mut world = World::new(script);
+    world.run();
+    let bad = world.verdict();
+    (world, bad)
+}
+
+#[test]
+fn scenarios() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let only = std::env::var("SCENARIO").ok();
+    let mut files: Vec<_> = std::fs::read_dir(folder).unwrap().map(|f| f.unwrap().path()).collect();
+    files.sort();
+    let mut failures = Vec::new();
+    let mut played = 0;
+    for path in files {
+        let name = path.file_stem().unwrap().to_string_lossy().into_owned();
+        if only.as_ref().is_some_and(|o| *o != name) {
+            continue;
+        }
+        let script = match Script::parse(&std::fs::read_to_string(&path).unwrap()) {
+            Ok(s) => s,
+            Err(e) => {
+                failures.push(format!("{name}: {e}"));
+                continue;
+            }
+        };
+        let (world, bad) = play(script);
+        if world.started() == 0 {
+            failures.push(format!("{name}: nothing ran"));
+        }
+        failures.extend(bad.into_iter().map(|b| format!("{name}: {b}")));
+        played += 1;
+    }
+    assert!(played > 0, "no scenario was played");
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// A day drawn from a seed: jobs of all kinds, and faults that overlap.
+fn drawn(seed: u64) -> Script {
+    use rand::rngs::StdRng;
+    use rand::{RngExt, SeedableRng};
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut text = format!(
+        "seed {seed}\nend 420\nteam red cores=8 most=16\nteam blue cores=12 most=40\n\
+         type small cores=8 mem=32 boot=4 price=1 spot_price=0.4 count=5 spot=6 stuck=0.05 zones=a,b\n\
+         type large cores=32 mem=96 boot=8 price=3.6 spot_price=1.4 count=2 spot=2\n"
+    );
+    let mut pick = |n: u64| rng.random_range(0..n);
+    for job in 1..=12 {
+        let at = 1 + pick(120);
+        let team = ["red", "blue", "free"][pick(3) as usize];
+        let urgency = ["high", "standard", "low"][pick(3) as usize];
+        let extra = ["", " apart=yes", " one_zone=yes", " spot=no", " bookmark=3 stash=2"][pick(5) as usize];
+        text += &format!(
+            "at {at} submit req-{job:06} pieces={} cores={} run={} team={team} urgency={urgency} image=i{} due={}{extra}\n",
+            1 + pick(16),
+            1 + pick(4),
+            2 + pick(25),
+            pick(4),
+            20 + pick(200),
+        );
+        if pick(4) == 0 {
+            text += &format!("at {} abort req-{job:06}\n", at + pick(40));
+        }
+    }
+    for _ in 0..7 {
+        let at = 5 + pick(140);
+        let (node, span) = (pick(3), 2 + pick(38));
+        let machine = 1 + pick(10);
+        let mode = ["drop", "hold", "repeat", "deaf"][pick(4) as usize];
+        text += &match pick(11) {
+            0 => format!("at {at} crash n{node} for={}\n", 2 + pick(12)),
+            1 => format!("at {at} crash nodes for={}\n", 2 + pick(10)),
+            2 => format!("at {at} cut n{node} state mode={mode} for={span}\n"),
+            3 => format!("at {at} cut n{node} machines mode={mode} for={span}\n"),
+            4 => format!(
+                "at {at} cut n{node} nodes mode={mode} for={span}\nat {at} cut n{node} state mode=hold for={span}\n"
+            ),
+            5 => format!("at {at} cut i-{machine:06} nodes mode={mode} for={span}\n"),
+            6 => format!("at {at} hang i-{machine:06} for={}\n", 5 + pick(9)),
+            7 => format!("at {at} hang n{node} for={}\n", 2 + pick(14)),
+            8 => format!("at {at} outage state for={span}\n"),
+            9 => format!("at {at} refuse n{node} for={span}\n"),
+            _ => format!("at {at} take i-{machine:06} notice={}\n", pick(8)),
+        };
+    }
+    text += "expect all-done\n";
+    Script::parse(&text).unwrap_or_else(|e| panic!("{e}\n{text}"))
+}
+
+#[test]
+fn sweep() {
+    let only: Option<u64> = std::env::var("SEED").ok().map(|s| s.parse().unwrap());
+    let count: u64 = std::env::var("SEEDS").ok().map_or(120, |s| s.parse().unwrap());
+    let seeds: Vec<u64> = only.map_or_else(|| (1..=count).collect(), |s| vec![s]);
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let failures = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                while let Some(seed) = seeds.get(next.fetch_add(1, std::sync::atomic::Ordering::Relaxed)) {
+                    let (world, bad) = play(drawn(*seed));
+                    assert!(world.started() > 0, "seed {seed}: nothing ran");
+                    failures.lock().unwrap().extend(bad.into_iter().map(|b| format!("seed {seed}: {b}")));
+                }
+            });
+        }
+    });
+    let failures = failures.into_inner().unwrap();
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+#[test]
+fn scenario_files_are_read_strictly() {
+    for (text, line) in [
+        ("seed 1\ncolour red", "line 2"),
+        ("at 3 explode n0 for=3", "line 1"),
+        ("\n\nat 3 crash n0 for=3 how=hard", "line 3"),
+        ("at 3 cut n0 moon mode=drop for=3", "line 1"),
+        ("at 3 submit req-000001 wings=2", "line 1"),
+        ("expect luck", "line 1"),
+    ] {
+        let error = Script::parse(text).err().unwrap_or_default();
+        assert!(error.starts_with(line), "{text}: {error}");
+    }
+}
