Dear machines only for work that would be late

Cause: after the first minute ordinary machines at three times the price made up half to two thirds of the cost and stayed up half idle.

--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -12,10 +12,18 @@
     pub spec: &'a JobSpec,
     /// How many tasks.
     pub count: u64,
-    /// Time until they should start; zero if that is past, `FOREVER` if nothing presses.
+    /// Time until they must start to end by their deadline; zero if that is past.
     pub slack: Micros,
     /// How long one of them is expected to run.
     pub run: Micros,
+    /// Most that a core of a machine may cost, see [`price_limit`].
+    pub price_limit: u64,
+}
+
+impl Demand<'_> {
+    fn takes(&self, r: &Room<'_>) -> bool {
+        self.spec.allows(r.build, r.yard, r.spot) && r.price <= self.price_limit
+    }
 }
 
 /// A machine that is up, or is expected to be.
@@ -27,8 +35,14 @@
     pub yard: &'a str,
     /// Spot.
     pub spot: bool,
+    /// All of its room.
+    pub all: Amount,
     /// Room left.
     pub free: Amount,
+    /// Core time that what is booked on it still takes, in thousandths of a core times microseconds.
+    pub work: u128,
+    /// Price per core.
+    pub price: u64,
 }
 
 /// A type, zone and kind of machine.
@@ -42,69 +56,69 @@
     pub spot: bool,
 }
 
-/// The load that runs already.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Load {
-    /// Cores of all machines that are up or booting, in thousandths.
-    pub cores: u64,
-    /// Core time that what is booked still takes, in thousandths of a core times microseconds.
-    pub work: u128,
+/// Price per core of a machine of this type and kind.
+pub fn core_price(t: &MachineType, spot: bool) -> u64 {
+    t.price_of(spot) * 1_000_000 / t.room.cores.max(1)
 }
 
-/// Machines to hire, with how many of each.
+/// Most that a core may cost for work that has time: half as much again as the cheapest that the
+/// job may use. What is dearer is for work that would otherwise be late.
+pub fn price_limit(catalog: &Catalog, spec: &JobSpec) -> u64 {
+    let allowed = |t: &MachineType, spot: bool| t.zones.iter().any(|z| spec.allows(&t.name, z, spot));
+    let fitting = catalog.types.iter().filter(|t| spec.need.fits(&t.room));
+    let prices = fitting.flat_map(|t| [true, false].map(|spot| allowed(t, spot).then(|| core_price(t, spot))));
+    prices.flatten().min().map_or(u64::MAX, |least| least.saturating_mul(3) / 2)
+}
+
+/// Machines to hire, with how many of each. `offered`: whether an offer is worth asking for.
 pub fn plan(
     catalog: &Catalog,
     demands: &[Demand<'_>],
-    rooms: &mut Vec<Room<'_>>,
-    load: Load,
+    rooms: &mut [Room<'_>],
     offered: &dyn Fn(&Offer) -> bool,
 ) -> Vec<(Offer, u32)> {
+    /// Most machines asked for at once.
+    const MOST: usize = 200;
     let mut hires: Vec<(Offer, u32)> = Vec::new();
-    let mut new_rooms: Vec<(Offer, Amount)> = Vec::new();
-    let mut waiting_work: u128 = 0;
+    let mut new: Vec<(Offer, Amount)> = Vec::new();
+    let mut waiting: u128 = 0;
     for d in demands {
+        let need = &d.spec.need;
+        let task_work = u128::from(need.cores) * u128::from(d.run.0);
         let mut left = d.count;
-        for r in rooms.iter_mut() {
-            if left == 0 {
-                break;
-            }
-            if d.spec.allows(r.build, r.yard, r.spot) {
-                left -= take(&mut r.free, &d.spec.need, left);
-            }
+        for r in rooms.iter_mut().filter(|r| d.takes(r)) {
+            let n = take(&mut r.free, need, left);
+            r.work += task_work * u128::from(n);
+            left -= n;
         }
-        for (o, free) in &mut new_rooms {
-            if left == 0 {
-                break;
-            }
-            if d.spec.allows(&o.build, &o.yard, o.spot) {
-                left -= take(free, &d.spec.need, left);
-            }
+        for (_, free) in new.iter_mut().filter(|(o, _)| d.spec.allows(&o.build, &o.yard, o.spot)) {
+            left -= take(free, need, left);
         }
-        while left > 0 {
-            // What will have run off by then leaves room in time.
-            let work = u128::from(d.spec.need.cores) * u128::from(d.run.0) * u128::from(left);
-            let cores = u128::from(load.cores);
-            if cores > 0 && d.slack != Micros::ZERO {
-                let drained = (load.work + waiting_work + work) / cores;
-                if drained < u128::from(d.slack.0) {
-                    waiting_work += work;
-                    break;
+        while left > 0 && new.len() < MOST {
+            // How long until the machines that could run these tasks have run off what is ahead.
+            let (mut cores, mut ahead) = (0, waiting + task_work * u128::from(left));
+            for r in rooms.iter().filter(|r| d.takes(r)) {
+                let usable = need.times_in(&r.all, u64::from(u32::MAX)) * need.cores;
+                if usable > 0 {
+                    cores += u128::from(usable);
+                    ahead += r.work;
                 }
             }
-            let Some((t, offer, per_machine)) = cheapest(catalog, d, left, offered) else {
+            for (o, _) in new.iter().filter(|(o, _)| d.spec.allows(&o.build, &o.yard, o.spot)) {
+                cores += catalog.get(&o.build).map_or(0, |t| u128::from(t.room.cores));
+            }
+            let drained = ahead.checked_div(cores).map_or(Micros::FOREVER, |t| Micros(t as u64));
+            let Some((t, offer)) = cheapest(catalog, d, left, drained, offered) else {
+                waiting += task_work * u128::from(left);
                 break;
             };
             let mut free = t.room;
-            let taken = take(&mut free, &d.spec.need, left.min(per_machine));
-            left -= taken;
-            new_rooms.push((offer.clone(), free));
+            left -= take(&mut free, need, left);
+            new.push((offer.clone(), free));
             match hires.iter_mut().find(|(o, _)| *o == offer) {
                 Some((_, n)) => *n += 1,
                 None => hires.push((offer, 1)),
             }
-            if new_rooms.len() >= 200 {
-                return hires;
-            }
         }
     }
     hires
@@ -116,36 +130,43 @@
     n
 }
 
-/// The cheapest offer for work like this, by price per task, boot and shortest charge included.
+/// The cheapest offer for work like this that is worth it, by price per task with boot, fetch and
+/// shortest charge. `drained`: when the machines there are will have run off what waits.
 fn cheapest<'a>(
     catalog: &'a Catalog,
     d: &Demand<'_>,
     left: u64,
+    drained: Micros,
     offered: &dyn Fn(&Offer) -> bool,
-) -> Option<(&'a MachineType, Offer, u64)> {
-    let mut best: Option<(u128, &MachineType, Offer, u64)> = None;
+) -> Option<(&'a MachineType, Offer)> {
+    let dear = price_limit(catalog, d.spec);
+    let mut best: Option<(u128, &MachineType, Offer)> = None;
     for t in &catalog.types {
         let per_machine = d.spec.need.times_in(&t.room, left);
         if per_machine == 0 {
             continue;
         }
+        let comes_up = t.boot + t.fetch_time(d.spec.size);
         for zone in &t.zones {
             for spot in [true, false] {
-                if !d.spec.allows(&t.name, zone, spot) {
-                    continue;
-                }
                 let offer = Offer { build: t.name.clone(), yard: zone.clone(), spot };
-                if !offered(&offer) {
+                let worth = if core_price(t, spot) > dear && drained < Micros::FOREVER {
+                    // Only for what would be late otherwise and will not be with it.
+                    drained > d.slack && comes_up < d.slack
+                } else {
+                    drained > d.slack.min(comes_up)
+                };
+                if !worth || !d.spec.allows(&t.name, zone, spot) || !offered(&offer) {
                     continue;
                 }
                 let busy = d.run.max(Micros::secs(10)) + t.fetch_time(d.spec.size);
                 let charged = (t.boot + busy * 2).max(Micros::secs(60));
                 let cost = u128::from(t.price_of(spot)) * u128::from(charged.0) / u128::from(per_machine);
                 if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
-                    best = Some((cost, t, offer, per_machine));
+                    best = Some((cost, t, offer));
                 }
             }
         }
     }
-    best.map(|(_, t, o, n)| (t, o, n))
+    best.map(|(_, t, o)| (t, o))
 }
--- a/src/bookkeeping/placement.rs
+++ b/src/bookkeeping/placement.rs
@@ -18,6 +18,8 @@
     pub yard: &'a str,
     /// Spot.
     pub spot: bool,
+    /// Price per core.
+    pub price: u64,
     /// Room left.
     pub free: Amount,
     /// Images that it has or is fetching.
@@ -37,6 +39,8 @@
     pub zones: BTreeMap<&'a str, u32>,
     /// Most tasks that its team's limit still allows.
     pub most: u64,
+    /// Most that a core of a machine may cost.
+    pub price_limit: u64,
     /// All or nothing.
     pub whole: bool,
     /// Machines to leave to others if any other will do.
@@ -102,6 +106,7 @@
 fn choose(slots: &[Slot<'_>], ask: &Ask<'_>, zone: Option<&str>) -> Option<usize> {
     let fits = |s: &Slot<'_>| {
         ask.spec.need.fits(&s.free)
+            && s.price <= ask.price_limit
             && ask.spec.allows(s.build, s.yard, s.spot)
             && zone.is_none_or(|z| z == s.yard)
             && (!ask.spec.apart || ask.zones.get(s.yard).copied().unwrap_or(0) < ask.spec.zone_limit())
@@ -109,7 +114,7 @@
     let rank = |s: &Slot<'_>| {
         let avoided = ask.avoid.contains(&s.machine);
         let has_image = s.images.contains(&ask.spec.bundle.as_str());
-        (avoided, !has_image, s.free.cores, s.free.memory, s.machine)
+        (avoided, !has_image, s.free.cores, s.free.memory, s.price, s.machine)
     };
     (0..slots.len()).filter(|i| fits(&slots[*i])).min_by_key(|i| rank(&slots[*i]))
 }
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -268,9 +268,6 @@
     /// When, by the time of day.
     #[serde(rename = "t")]
     pub at: Micros,
-    /// What came of it.
-    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
-    pub machines: Vec<MachineId>,
 }
 
 /// Rentals and releases in progress.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -3,7 +3,7 @@
 use super::{Call, CallId, Controller, Effect, Purpose};
 use crate::bookkeeping::amount::Amount;
 use crate::bookkeeping::catalog::Catalog;
-use crate::bookkeeping::fleet::{Demand, Load, Offer, Room, plan};
+use crate::bookkeeping::fleet::{Demand, Offer, Room, core_price, plan};
 use crate::bookkeeping::ids::MachineId;
 use crate::bookkeeping::records::{Fitness, FleetRecord, HireRecord, Key};
 use crate::bookkeeping::time::Micros;
@@ -122,12 +122,8 @@
         }
     }
 
-    /// Cores that the tasks of live jobs still want, and what is there to take them.
-    fn hire_machines(&mut self) {
-        let now = self.now.steady;
-        let Some(catalog) = self.view.types.value.clone() else {
-            return;
-        };
+    /// Tasks of live jobs that have no place, as far as their teams' limits let them have one.
+    fn demands(&self) -> Vec<Demand<'_>> {
         let mut jobs: Vec<_> = self
             .view
             .jobs
@@ -135,62 +131,67 @@
             .filter(|(id, j)| !j.record.cancelled && self.view.pending_count(**id, j) > 0)
             .collect();
         jobs.sort_by_key(|(id, j)| (j.spec().urgency, self.latest_start(j), **id));
-        let mut left: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+        let mut used: BTreeMap<&str, u64> = BTreeMap::new();
         let mut demands = Vec::new();
         for (id, j) in jobs {
             let spec = j.spec();
             let k = self.view.job_slice(*id, spec);
-            let used = left.entry(&spec.crew).or_insert_with(|| self.view.usage[k].value.of(&spec.crew));
+            let used = used.entry(&spec.crew).or_insert_with(|| self.view.usage[k].value.of(&spec.crew).0);
             let mut count = u64::from(self.view.pending_count(*id, j));
             if let Some(limit) = self.cfg.team(&spec.crew).and_then(|t| t.cores_limit) {
-                let left = limit.saturating_sub(used.0).checked_div(spec.need.cores);
+                let left = limit.saturating_sub(*used).checked_div(spec.need.cores);
                 count = count.min(left.unwrap_or(u64::MAX));
             }
-            used.0 += count * spec.need.cores;
+            *used += count * spec.need.cores;
             if count > 0 {
-                demands.push(Demand { spec, count, slack: self.latest_start(j).since(self.now.day), run: spec.guess });
+                let slack = self.latest_start(j).since(self.now.day);
+                demands.push(Demand { spec, count, slack, run: spec.guess, price_limit: self.price_limit(j) });
             }
         }
-        if demands.is_empty() {
-            return;
-        }
-        let mut rooms: Vec<Room<'_>> = Vec::new();
-        let mut load = Load::default();
-        for (_, _, r) in self.view.machines() {
-            if r.fitness != Fitness::Up {
-                continue;
-            }
-            load.cores += self.view.machine_type(&r.build).map_or(0, |t| t.room.cores);
+        demands
+    }
+
+    /// Machines that are up or expected to come up.
+    fn rooms<'a>(&'a self, catalog: &Catalog) -> Vec<Room<'a>> {
+        let room = |build: &'a str, yard: &'a str, spot: bool| {
+            let all = catalog.get(build).map_or(Amount::default(), |t| t.room);
+            let price = catalog.get(build).map_or(0, |t| core_price(t, spot));
+            Room { build, yard, spot, all, free: all, work: 0, price }
+        };
+        let mut rooms: Vec<Room<'a>> = Vec::new();
+        for (_, _, r) in self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up) {
+            let mut up = room(&r.build, &r.yard, r.spot);
+            up.free = self.view.free(r);
             for b in &r.tasks {
                 if let Some(j) = self.view.jobs.get(&b.attempt().task.job) {
                     // Half of what it takes is over, on the average.
-                    load.work += u128::from(j.spec().need.cores) * u128::from(j.spec().guess.0 / 2);
+                    up.work += u128::from(j.spec().need.cores) * u128::from(j.spec().guess.0 / 2);
                 }
             }
-            rooms.push(Room { build: &r.build, yard: &r.yard, spot: r.spot, free: self.view.free(r) });
-        }
-        for (m, k) in &self.fleet.known {
-            if self.boots(*m, k) {
-                let room = self.view.machine_type(&k.build).map_or(Amount::default(), |t| t.room);
-                load.cores += room.cores;
-                rooms.push(Room { build: &k.build, yard: &k.yard, spot: k.spot, free: room });
-            }
+            rooms.push(up);
         }
+        let known = self.fleet.known.iter().filter(|(m, k)| self.boots(**m, k));
+        rooms.extend(known.map(|(_, k)| room(&k.build, &k.yard, k.spot)));
         // Rentals of an earlier owner whose machines no list shows yet.
         for h in &self.view.fleet.value.hires {
             let age = self.now.day.since(h.at);
-            let shown = |m: &MachineId| self.fleet.known.contains_key(m) || self.view.machine(*m).is_some();
-            if age < self.cfg.list_lag * 2 + Micros::secs(8) && !h.machines.iter().any(shown) {
-                let room = self.view.machine_type(&h.build).map_or(Amount::default(), |t| t.room);
-                for _ in 0..h.count {
-                    load.cores += room.cores;
-                    rooms.push(Room { build: &h.build, yard: &h.yard, spot: h.spot, free: room });
-                }
+            if age < self.cfg.list_lag * 2 + Micros::secs(8) {
+                rooms.extend((0..h.count).map(|_| room(&h.build, &h.yard, h.spot)));
             }
         }
+        rooms
+    }
+
+    fn hire_machines(&mut self) {
+        let now = self.now.steady;
+        let Some(catalog) = &self.view.types.value else { return };
+        let demands = self.demands();
+        if demands.is_empty() {
+            return;
+        }
         let none_left = &self.fleet.none_left;
         let offered = |o: &Offer| none_left.get(o).is_none_or(|(until, _)| *until <= now);
-        let hires = plan(&catalog, &demands, &mut rooms, load, &offered);
+        let hires = plan(catalog, &demands, &mut self.rooms(catalog), &offered);
         if hires.is_empty() {
             return;
         }
@@ -208,7 +209,6 @@
                 spot: offer.spot,
                 count: count.min(HIRE_LIMIT),
                 at: self.now.day,
-                machines: Vec::new(),
             });
         }
         record.hires.extend(new.iter().cloned());
@@ -428,8 +428,15 @@
         });
     }
 
-    fn idle_limit(&self, build: &str) -> Micros {
-        let derived = self.view.machine_type(build).map_or(Micros::secs(30), |t| t.boot);
+    /// How long a machine is kept without work: as long as its next boot would take, a dear one
+    /// only for a moment. Less than the shortest charge is never saved.
+    fn idle_limit(&self, build: &str, spot: bool) -> Micros {
+        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let cheapest = types.map(|t| core_price(t, true).min(core_price(t, false))).min().unwrap_or(0);
+        let derived = match self.view.machine_type(build) {
+            Some(t) if core_price(t, spot) > cheapest * 3 / 2 => Micros::secs(5),
+            t => t.map_or(Micros::secs(30), |t| t.boot),
+        };
         self.op.idle_s.map_or(derived, Micros::from_secs_f64)
     }
 
@@ -462,7 +469,7 @@
                         marks.push((m, "silent for long"));
                     }
                 }
-                Fitness::Up if idle && now.since(since) > self.idle_limit(&r.build) => marks.push((m, "idle")),
+                Fitness::Up if idle && now.since(since) > self.idle_limit(&r.build, r.spot) => marks.push((m, "idle")),
                 _ => {}
             }
         }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -5,6 +5,7 @@
 use super::sessions::{Mark, Outcome};
 use super::{Controller, Purpose};
 use crate::bookkeeping::amount::Amount;
+use crate::bookkeeping::fleet::{core_price, price_limit};
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice, TaskId};
 use crate::bookkeeping::job::{FinalRecord, JobSpec, Urgency};
 use crate::bookkeeping::placement::{Ask, Claim, Slot, plan};
@@ -300,7 +301,16 @@
                 u.0 += n * spec.need.cores;
                 u.1 += n * spec.need.accelerators;
             }
-            asks.push(Ask { job: id, spec, tasks, zones: self.zones_of(id), most, whole, avoid: &job.record.avoid });
+            asks.push(Ask {
+                job: id,
+                spec,
+                tasks,
+                zones: self.zones_of(id),
+                most,
+                price_limit: self.price_limit(job),
+                whole,
+                avoid: &job.record.avoid,
+            });
         }
         let view = &self.view;
         let mut slots: Vec<Slot<'_>> = Vec::new();
@@ -321,6 +331,7 @@
                 build: &r.build,
                 yard: &r.yard,
                 spot: r.spot,
+                price: view.machine_type(&r.build).map_or(0, |t| core_price(t, r.spot)),
                 free,
                 images: r.images.iter().map(|(n, _)| n.as_str()).collect(),
             });
@@ -393,20 +404,35 @@
     /// The time of day by which a job's tasks should start to end as they should.
     pub(super) fn latest_start(&self, job: &Job) -> Micros {
         let spec = job.spec();
-        let due = spec.due.or_else(|| self.finish_aim(spec));
-        match due {
-            Some(d) => (job.record.submitted + d) - spec.guess,
-            None => Micros::FOREVER,
+        let due = spec.due.unwrap_or_else(|| self.finish_aim(spec));
+        (job.record.submitted + due) - spec.guess
+    }
+
+    /// Most that a core may cost for a job: what is dear is for those that would be late, or have
+    /// to start at once.
+    pub(super) fn price_limit(&self, job: &Job) -> u64 {
+        let spec = job.spec();
+        let margin = Micros::secs(10) + Micros(spec.guess.0 / 4);
+        let at_once = self.objectives(spec).any(|o| matches!(o, ObjectiveKind::Wait(_)));
+        match &self.view.types.value {
+            Some(catalog) if !at_once && self.latest_start(job) >= self.now.day + margin => price_limit(catalog, spec),
+            _ => u64::MAX,
         }
     }
 
-    /// Within what time the objectives want jobs like this one done.
-    fn finish_aim(&self, spec: &JobSpec) -> Option<Micros> {
+    fn objectives<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = ObjectiveKind> + 'a {
         let of_class = |class: &Option<String>| class.as_ref().is_none_or(|c| *c == spec.lane);
-        self.cfg.objectives.iter().filter(|o| of_class(&o.class)).find_map(|o| match o.kind {
+        self.cfg.objectives.iter().filter(move |o| of_class(&o.class)).map(|o| o.kind)
+    }
+
+    /// Within what time a job without a deadline should be done: as the objectives want it, or
+    /// some time that is long for it.
+    fn finish_aim(&self, spec: &JobSpec) -> Micros {
+        let aim = self.objectives(spec).find_map(|o| match o {
             ObjectiveKind::Finished(t) => Some(t),
             _ => None,
-        })
+        });
+        aim.unwrap_or(spec.guess * 2 + Micros::secs(300))
     }
 
     /// A job that fails wherever it runs is retried ever more slowly.
