Preemption, room kept for what found none, one plan order over all jobs

Every controller now plans all jobs in one order and claims only its own, keeps machines for what found no room, and may stop less urgent work for classes that must start at once. Node lease 2 s, claims as soon as a node is seen to go.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -171,6 +171,9 @@
     /// Bookings.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tasks: Vec<Booking>,
+    /// Those of them that are to be stopped for others, which have their room already.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub preempted: Vec<Booking>,
 }
 
 fn is_false(b: &bool) -> bool {
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -198,10 +198,10 @@
         self.jobs.get(&job).map(|j| j.record.spec.need).unwrap_or_default()
     }
 
-    /// Room left on a machine beside its bookings.
+    /// Room left on a machine beside its bookings; that of preempted ones is given already.
     pub fn free(&self, record: &MachineRecord) -> Amount {
         let mut room = self.machine_type(&record.build).map(|t| t.room).unwrap_or_default();
-        for b in &record.tasks {
+        for b in record.tasks.iter().filter(|b| !record.preempted.contains(b)) {
             room -= self.need(JobId(b.0));
         }
         room
--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -219,6 +219,7 @@
         }
         if let Some(r) = self.groups.get_mut(&k).and_then(|g| g.record.machines.get_mut(&m)) {
             r.tasks.retain(|b| *b != booking);
+            r.preempted.retain(|b| *b != booking);
         }
         if edits_job {
             match outcome {
@@ -307,6 +308,24 @@
         true
     }
 
+    /// Books tasks on a machine in the room of others that are to be stopped there: all or nothing,
+    /// since without the others' room the machine would be booked beyond what it has.
+    pub fn book_over(&mut self, k: Slice, m: MachineId, victims: &[Booking], tasks: &[Attempt]) -> bool {
+        let mut trial = self.clone();
+        if !tasks.iter().all(|a| trial.book(k, m, *a)) || !trial.grow(k, BOOKING_BYTES * victims.len()) {
+            return false;
+        }
+        let Some(r) = trial.groups.get_mut(&k).and_then(|g| g.record.machines.get_mut(&m)) else { return false };
+        for v in victims {
+            if !r.tasks.contains(v) || r.preempted.contains(v) {
+                return false;
+            }
+            r.preempted.push(*v);
+        }
+        *self = trial;
+        true
+    }
+
     /// Books all of an indivisible set, or nothing.
     pub fn book_all(&mut self, set: &[(Slice, MachineId, Attempt)]) -> bool {
         let mut trial = self.clone();
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -32,7 +32,7 @@
     next_node: Micros,
     next_claim: Micros,
     next_rebalance: Micros,
-    looking: bool,
+
     meta_at: Micros,
     ready_since: Option<Micros>,
     raise: Vec<Slice>,
@@ -51,9 +51,9 @@
         self.tenures.get(k).copied().flatten()
     }
 
-    /// Something changed that may call for a claim.
+    /// Something changed that may call for a claim: no need to wait for the next look.
     pub fn look(&mut self) {
-        self.looking = true;
+        self.next_claim = Micros::ZERO;
     }
 
     /// Asks for a new term of a slice that this process owns, once a launch has been without an
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -8,8 +8,8 @@
 use crate::bookkeeping::fleet::{core_price, price_limit};
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice, TaskId};
 use crate::bookkeeping::job::{FinalRecord, JobSpec, Urgency};
-use crate::bookkeeping::placement::{Ask, Claim, Slot, plan};
-use crate::bookkeeping::records::{Fitness, Key};
+use crate::bookkeeping::placement::{Ask, Claim, Running, Slot, plan, preempt};
+use crate::bookkeeping::records::{Fitness, Key, MachineRecord};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Job, Touched};
 use crate::protocol::settings::ObjectiveKind;
@@ -162,6 +162,8 @@
 impl Controller {
     /// Most claims of one round.
     const CLAIMS: usize = 96;
+    /// Most machines on which one round stops tasks for others.
+    const TAKEOVERS: usize = 4;
 
     pub(super) fn pump_rounds(&mut self) {
         let now = self.now.steady;
@@ -266,10 +268,79 @@
     /// Plans on the copy as the draft would leave it, and books what the draft can take.
     fn book(&self, draft: &mut Draft<'_>) -> Vec<(Claim, u64)> {
         let jobs = self.jobs_in_order();
-        if jobs.is_empty() {
+        if !jobs.iter().any(|(id, j)| self.owns(self.view.job_slice(*id, j.spec()))) {
             return Vec::new();
         }
-        let mut asks: Vec<Ask<'_>> = Vec::new();
+        let mut asks = self.asks(jobs, draft);
+        // By copy: the draft's machines borrow from the draft, which the bookings then change.
+        let machines: Vec<(Slice, MachineId, Amount)> = draft
+            .machines()
+            .filter(|(_, _, r)| r.fitness == Fitness::Up)
+            .map(|(k, m, r)| (k, m, self.view.free(r)))
+            .collect();
+        let may_preempt = asks.iter().any(|a| a.mine && a.preempts);
+        let mut slots: Vec<Slot<'_>> = machines
+            .into_iter()
+            .filter_map(|(k, m, free)| {
+                // A machine that the draft adds is planned on in the next round.
+                let r = self.view.groups[k].value.machines.get(&m)?;
+                let t = self.view.machine_type(&r.build)?;
+                Some(Slot {
+                    slice: k,
+                    machine: m,
+                    build: &r.build,
+                    yard: &r.yard,
+                    spot: r.spot,
+                    price: core_price(t, r.spot),
+                    all: t.room,
+                    free,
+                    kept: false,
+                    images: r.images.iter().map(|(n, _)| n.as_str()).collect(),
+                    running: if may_preempt { self.running(r, draft.machine(k, m)) } else { Vec::new() },
+                })
+            })
+            .collect();
+        let claims = plan(&mut slots, &mut asks, Self::CLAIMS);
+        let number = self.view.latest;
+        let attempt = |c: &Claim| Attempt { task: TaskId { job: c.job, index: c.index }, number };
+        let mut taken = Vec::new();
+        if may_preempt {
+            for t in preempt(&mut slots, &asks, &claims, Self::TAKEOVERS) {
+                let tasks: Vec<Attempt> = t.claims.iter().map(attempt).collect();
+                if draft.book_over(t.slice, t.machine, &t.victims, &tasks) {
+                    for v in &t.victims {
+                        tracing::info!(task = %v.attempt(), machine = %t.machine, by = %t.claims[0].job, "preempting");
+                    }
+                    taken.extend(t.claims.iter().map(|c| (*c, number)));
+                }
+            }
+        }
+        let whole: BTreeSet<JobId> = asks.iter().filter(|a| a.whole).map(|a| a.job).collect();
+        let mut booked = taken;
+        for of_job in claims.chunk_by(|a, b| a.job == b.job) {
+            let set: Vec<(Slice, MachineId, Attempt)> =
+                of_job.iter().map(|c| (c.slice, c.machine, attempt(c))).collect();
+            if whole.contains(&of_job[0].job) {
+                if draft.book_all(&set) {
+                    booked.extend(of_job.iter().map(|c| (*c, number)));
+                } else {
+                    // It waits for a round that has the room for all of it.
+                    self.rounds.least.set(self.cfg.txn_ops);
+                }
+                continue;
+            }
+            for (c, (k, m, a)) in of_job.iter().zip(set) {
+                if draft.book(k, m, a) {
+                    booked.push((*c, number));
+                }
+            }
+        }
+        booked
+    }
+
+    /// What the jobs ask for, as far as their teams' limits let them.
+    fn asks<'a>(&'a self, jobs: Vec<(JobId, &'a Job)>, draft: &Draft<'_>) -> Vec<Ask<'a>> {
+        let mut asks: Vec<Ask<'a>> = Vec::new();
         let mut wanted = 0;
         let mut left: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
         for (id, job) in jobs {
@@ -278,6 +349,7 @@
             }
             let spec = job.spec();
             let k = self.view.job_slice(id, spec);
+            let mine = self.owns(k);
             let team = self.cfg.team(&spec.crew);
             let used = *left.entry(&spec.crew).or_insert_with(|| draft.used(k, &spec.crew));
             let limit = |most: Option<u64>, used: u64, need: u64| match most {
@@ -295,7 +367,9 @@
             let whole = spec.standing && self.view.booked(id).is_none() && (spec.pieces as usize) <= Self::CLAIMS;
             let cap = (Self::CLAIMS - wanted).max(if whole { spec.pieces as usize } else { 0 });
             let tasks: Vec<u32> = self.view.pending(id, job).take(cap).collect();
-            wanted += tasks.len();
+            if mine {
+                wanted += tasks.len();
+            }
             let n = (tasks.len() as u64).min(most);
             if let Some(u) = left.get_mut(spec.crew.as_str()) {
                 u.0 += n * spec.need.cores;
@@ -308,62 +382,56 @@
                 zones: self.zones_of(id),
                 most,
                 price_limit: self.price_limit(job),
+                mine,
+                preempts: self.preempts(job),
+                guaranteed: team.is_some_and(|t| t.has_share()) && !self.borrows(job, k),
                 whole,
                 avoid: &job.record.avoid,
             });
         }
-        let view = &self.view;
-        let mut slots: Vec<Slot<'_>> = Vec::new();
-        // The draft's machines borrow from the draft, which the bookings then change: so by copy.
-        let machines: Vec<(Slice, MachineId, Amount)> = draft
-            .machines()
-            .filter(|(_, _, r)| r.fitness == Fitness::Up)
-            .map(|(k, m, r)| (k, m, view.free(r)))
+        asks
+    }
+
+    /// Tasks on a machine that may have to make room, the latest started last.
+    fn running(&self, r: &MachineRecord, drafted: Option<&MachineRecord>) -> Vec<Running> {
+        let mut running: Vec<Running> = r
+            .tasks
+            .iter()
+            .filter(|b| !r.preempted.contains(b) && drafted.is_some_and(|d| d.tasks.contains(b)))
+            .filter_map(|b| {
+                let id = b.attempt().task.job;
+                let job = self.view.jobs.get(&id)?;
+                let k = self.view.job_slice(id, job.spec());
+                let team = self.cfg.team(&job.spec().crew);
+                let borrowed = team.is_some_and(|t| {
+                    let used = self.view.usage[k].value.of(&job.spec().crew);
+                    t.has_share() && used.0 > t.guarantee.0 + job.spec().need.cores
+                });
+                Some(Running { booking: *b, need: job.spec().need, urgency: job.spec().urgency, borrowed })
+            })
             .collect();
-        for (k, m, free) in machines {
-            // A machine that the draft adds is planned on in the next round.
-            let Some(r) = view.groups[k].value.machines.get(&m) else {
-                continue;
-            };
-            slots.push(Slot {
-                slice: k,
-                machine: m,
-                build: &r.build,
-                yard: &r.yard,
-                spot: r.spot,
-                price: view.machine_type(&r.build).map_or(0, |t| core_price(t, r.spot)),
-                free,
-                images: r.images.iter().map(|(n, _)| n.as_str()).collect(),
-            });
-        }
-        let claims = plan(&mut slots, &mut asks, Self::CLAIMS);
-        let whole: BTreeSet<JobId> = asks.iter().filter(|a| a.whole).map(|a| a.job).collect();
-        let number = self.view.latest;
-        let mut booked = Vec::new();
-        for of_job in claims.chunk_by(|a, b| a.job == b.job) {
-            let set: Vec<(Slice, MachineId, Attempt)> = of_job
-                .iter()
-                .map(|c| {
-                    let task = TaskId { job: c.job, index: c.index };
-                    (c.slice, c.machine, Attempt { task, number })
-                })
-                .collect();
-            if whole.contains(&of_job[0].job) {
-                if draft.book_all(&set) {
-                    booked.extend(of_job.iter().map(|c| (*c, number)));
-                } else {
-                    // It waits for a round that has the room for all of it.
-                    self.rounds.least.set(self.cfg.txn_ops);
-                }
-                continue;
-            }
-            for (c, (k, m, a)) in of_job.iter().zip(set) {
-                if draft.book(k, m, a) {
-                    booked.push((*c, number));
-                }
-            }
-        }
-        booked
+        // The more urgent are never reached; of the rest the latest have the least to lose.
+        running.sort_by_key(|r| (r.urgency, r.booking.2));
+        running
+    }
+
+    /// Whether a job may stop others: its class must start at once, or it is about to be late.
+    fn preempts(&self, job: &Job) -> bool {
+        let now = self.now.day;
+        let latest = self.latest_start(job);
+        let at_once = self.objectives(job.spec()).any(|o| matches!(o, ObjectiveKind::Wait(_)));
+        at_once || latest < now + Micros::secs(5) && now < latest + job.spec().guess
+    }
+
+    /// Whether one more task of the job is beyond its team's guarantee.
+    fn borrows(&self, job: &Job, k: Slice) -> bool {
+        let spec = job.spec();
+        self.cfg.team(&spec.crew).is_some_and(|t| {
+            let used = self.view.usage[k].value.of(&spec.crew);
+            t.has_share()
+                && (used.0 + spec.need.cores > t.guarantee.0
+                    || spec.need.accelerators > 0 && used.1 + spec.need.accelerators > t.guarantee.1)
+        })
     }
 
     fn zones_of(&self, id: JobId) -> BTreeMap<&str, u32> {
@@ -376,24 +444,15 @@
         zones
     }
 
-    /// This controller's jobs with tasks to place, the most pressing first.
+    /// All jobs with tasks to place, the most pressing first.
     fn jobs_in_order(&self) -> Vec<(JobId, &Job)> {
         let mut jobs: Vec<(Precedence, JobId, &Job)> = Vec::new();
         for (id, job) in &self.view.jobs {
-            if job.record.cancelled || self.view.pending_count(*id, job) == 0 {
-                continue;
-            }
-            let k = self.view.job_slice(*id, job.spec());
-            if !self.owns(k) || self.backing_off(*id, job) {
+            if job.record.cancelled || self.view.pending_count(*id, job) == 0 || self.backing_off(*id, job) {
                 continue;
             }
             let spec = job.spec();
-            let borrows = self.cfg.team(&spec.crew).is_some_and(|t| {
-                let used = self.view.usage[k].value.of(&spec.crew);
-                t.has_share()
-                    && (used.0 + spec.need.cores > t.guarantee.0
-                        || spec.need.accelerators > 0 && used.1 + spec.need.accelerators > t.guarantee.1)
-            });
+            let borrows = self.borrows(job, self.view.job_slice(*id, spec));
             let key = (borrows, spec.urgency, self.latest_start(job), job.record.submitted);
             jobs.push((key, *id, job));
         }
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -7,6 +7,7 @@
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice};
 use crate::bookkeeping::records::{Booking, Fitness, MachineRecord};
 use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::{Job, View};
 use crate::protocol::worker::{Ended, Order, Report, ReportAnswer, TaskState, direct_body};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -81,6 +82,22 @@
         self.seen.iter().find(|(s, _)| s == a).map(|(_, t)| *t)
     }
 
+    /// Whether the worker has room for a launch: only in question while others are being stopped
+    /// for it.
+    fn has_room(&self, view: &View, record: Option<&MachineRecord>, a: &Attempt) -> bool {
+        let Some(record) = record.filter(|r| !r.preempted.is_empty()) else { return true };
+        let mut room = view.machine_type(&record.build).map(|t| t.room).unwrap_or_default();
+        for (t, state) in &self.seen {
+            if t != a && !matches!(state, TaskState::Exited(_)) {
+                room -= view.need(t.task.job);
+            }
+        }
+        for t in self.launched.iter().filter(|t| *t != a && self.sees(t).is_none()) {
+            room -= view.need(t.task.job);
+        }
+        view.need(a.task.job).fits(&room)
+    }
+
     /// The record of a machine that is heard for the first time.
     pub fn record(&self) -> MachineRecord {
         MachineRecord {
@@ -92,10 +109,17 @@
             dead: self.refused,
             images: Vec::new(),
             tasks: Vec::new(),
+            preempted: Vec::new(),
         }
     }
 }
 
+/// The time that a task of this job is given to save when it is stopped.
+fn leeway(job: Option<&Job>) -> Micros {
+    let spec = job.map(Job::spec);
+    spec.filter(|s| s.bookmark > Micros::ZERO).map_or(Micros::ZERO, |s| s.stash.with_drift())
+}
+
 /// Why a booking is cleared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -251,6 +275,7 @@
         };
         let record = self.view.groups[k].value.machines.get(&machine);
         let booked = record.map_or(&[][..], |r| &r.tasks);
+        let preempted = record.map_or(&[][..], |r| &r.preempted);
         let fitness = record.map_or(Fitness::Up, |r| r.fitness);
         for (a, state) in &s.seen {
             let is_booked = booked.contains(&Booking::of(*a));
@@ -285,6 +310,8 @@
                     let job = self.view.jobs.get(&a.task.job);
                     if job.is_none_or(|j| j.record.cancelled) {
                         orders.push(Order::Stop(*a, Micros::ZERO));
+                    } else if preempted.contains(&Booking::of(*a)) {
+                        orders.push(Order::Stop(*a, leeway(job)));
                     } else if let (Some(at), Some(job), TaskState::Running) = (s.recall_at, job, state) {
                         let spec = job.spec();
                         let left = at.since(now);
@@ -317,7 +344,13 @@
                 continue;
             }
             let job = self.view.jobs.get(&a.task.job);
-            let unwanted = job.is_none_or(|j| j.record.cancelled) || fitness != Fitness::Up || s.recall_at.is_some();
+            let unwanted = job.is_none_or(|j| j.record.cancelled)
+                || fitness != Fitness::Up
+                || s.recall_at.is_some()
+                || preempted.contains(b);
+            if !unwanted && !s.has_room(&self.view, record, &a) {
+                continue;
+            }
             if !unwanted {
                 s.launched.insert(a);
                 if in_answer {
@@ -348,7 +381,7 @@
             let Some(s) = self.sessions.get_mut(m) else {
                 continue;
             };
-            if r.tasks.iter().any(|b| !s.launched.contains(&b.attempt())) {
+            if !r.preempted.is_empty() || r.tasks.iter().any(|b| !s.launched.contains(&b.attempt())) {
                 s.wants_direct = true;
             }
 
@@ -417,10 +450,13 @@
                 let job = self.view.jobs.get(&a.task.job);
                 let cancelled = job.is_none_or(|j| j.record.cancelled);
                 let seen = s.sees(&a);
-                if cancelled && seen.is_some_and(|t| !matches!(t, TaskState::Exited(_))) {
-                    orders.push(Order::Stop(a, Micros::ZERO));
+                let preempted = record.preempted.contains(b);
+                if (cancelled || preempted) && seen.is_some_and(|t| !matches!(t, TaskState::Exited(_))) {
+                    orders.push(Order::Stop(a, if cancelled { Micros::ZERO } else { leeway(job) }));
                 } else if !cancelled
+                    && !preempted
                     && seen.is_none()
+                    && s.has_room(&self.view, Some(record), &a)
                     && record.fitness == Fitness::Up
                     && s.recall_at.is_none()
                     && !self.rounds.clearing(m, a)
--- a/src/protocol/operator.rs
+++ b/src/protocol/operator.rs
@@ -25,7 +25,7 @@
 
 impl Default for OperatorSettings {
     fn default() -> Self {
-        OperatorSettings { slices: 6, round_ms: 150, node_lease_ms: 3_000, idle_s: None }
+        OperatorSettings { slices: 6, round_ms: 150, node_lease_ms: 2_000, idle_s: None }
     }
 }
 
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -39,8 +39,11 @@
 pub enum Mode {
     Drop,
     Hold,
-    /// Every message arrives twice.
+    /// Every message arrives twice, the second time late. Direct commands excepted: TCP delivers
+    /// a request once, and one that was answered is over.
     Repeat,
+    /// Direct commands arrive when it is over, everything else at once.
+    LateCommands,
     /// Only answers are lost.
     Deaf,
 }
@@ -264,6 +267,7 @@
             "drop" => Mode::Drop,
             "hold" => Mode::Hold,
             "repeat" => Mode::Repeat,
+            "late-commands" => Mode::LateCommands,
             "deaf" => Mode::Deaf,
             _ => return None,
         })
