--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,7 +25,7 @@
 use crate::protocol::user::{UserAnswer, UserRequest};
 use crate::protocol::worker::{Report, ReportAnswer};
 use budget::Budget;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 /// The time: by the process's own steady clock, and of day.
@@ -149,6 +149,8 @@
     reader: reader::Reader,
     ownership: ownership::Ownership,
     sessions: BTreeMap<MachineId, sessions::Session>,
+    /// Machines that were removed lately.
+    removed: VecDeque<MachineId>,
     rounds: rounds::Rounds,
     users: users::Users,
     fleet: fleet::Fleet,
@@ -175,6 +177,7 @@
             reader: reader::Reader::default(),
             ownership: ownership::Ownership::default(),
             sessions: BTreeMap::new(),
+            removed: VecDeque::new(),
             rounds: rounds::Rounds::default(),
             users: users::Users::default(),
             fleet: fleet::Fleet::default(),
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -84,10 +84,10 @@
         self.clears.contains_key(&(m, a))
     }
 
-    /// Wants a machine's record changed.
-    pub fn mark(&mut self, m: MachineId, mark: Mark) {
+    /// Wants a machine's record changed; false if that was wanted already.
+    pub fn mark(&mut self, m: MachineId, mark: Mark) -> bool {
         self.looking = true;
-        self.marks.insert(m, mark);
+        self.marks.insert(m, mark) != Some(mark)
     }
 
     /// Wants a machine added to its group.
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -144,6 +144,8 @@
     /// Added to the lease before silence counts as proof, beside the drift.
     const SILENCE_MARGIN: Micros = Micros::millis(400);
     const DIRECT_LIMIT: Micros = Micros::millis(2_500);
+    /// Removed machines that are remembered.
+    const REMOVED: usize = 128;
 
     pub(super) fn begin_sessions(&mut self, k: Slice) {
         self.end_sessions(k);
@@ -196,6 +198,9 @@
             self.reader.want_barrier();
             return ReportAnswer::Unavailable;
         }
+        if self.removed.contains(&report.machine) {
+            return ReportAnswer::Unavailable;
+        }
         let dead = self.view.machine(report.machine).map_or(0, |r| r.dead);
         let session = self.sessions.entry(report.machine).or_insert_with(|| {
             tracing::info!(machine = %report.machine, build = report.build, spot = report.spot, "heard for the first time");
@@ -387,6 +392,7 @@
 
             s.launched.retain(|a| r.tasks.contains(&Booking::of(*a)));
         }
+        // A late report of a machine that was removed must not bring it back.
         let gone: Vec<MachineId> = self
             .sessions
             .keys()
@@ -399,6 +405,10 @@
                 continue;
             }
             self.sessions.remove(&m);
+            self.removed.push_back(m);
+            if self.removed.len() > Self::REMOVED {
+                self.removed.pop_front();
+            }
         }
     }
 
@@ -550,9 +560,11 @@
                 }
             } else {
                 let limit = if s.answered.is_some() { suspicious } else { silence + suspicious };
-                if quiet > limit && fitness < Fitness::Lost {
+                if quiet > limit
+                    && fitness < Fitness::Lost
+                    && self.rounds.mark(m, Mark { fitness: Fitness::Lost, dead })
+                {
                     tracing::info!(machine = %m, quiet = %quiet, "silent, takes no more work");
-                    self.rounds.mark(m, Mark { fitness: Fitness::Lost, dead });
                 }
             }
         }
