--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -107,8 +107,8 @@
             for (o, _) in new.iter().filter(|(o, _)| d.spec.allows(&o.build, &o.yard, o.spot)) {
                 cores += catalog.get(&o.build).map_or(0, |t| u128::from(t.room.cores));
             }
-            let drained = ahead.checked_div(cores).map_or(Micros::FOREVER, |t| Micros(t as u64));
-            let Some((t, offer)) = cheapest(catalog, d, left, drained, offered) else {
+            let backlog = Backlog { cores, ahead };
+            let Some((t, offer)) = cheapest(catalog, d, left, backlog, offered) else {
                 waiting += task_work * u128::from(left);
                 break;
             };
@@ -130,13 +130,32 @@
     n
 }
 
+/// What is ahead of the machines that could run a demand.
+#[derive(Clone, Copy)]
+struct Backlog {
+    cores: u128,
+    ahead: u128,
+}
+
+impl Backlog {
+    /// When it will have been run off.
+    fn drained(&self) -> Micros {
+        self.ahead.checked_div(self.cores).map_or(Micros::FOREVER, |t| Micros(t as u64))
+    }
+
+    /// What is left of it after some time.
+    fn after(&self, t: Micros) -> u128 {
+        self.ahead.saturating_sub(self.cores * u128::from(t.0))
+    }
+}
+
 /// The cheapest offer for work like this that is worth it, by price per task with boot, fetch and
-/// shortest charge. `drained`: when the machines there are will have run off what waits.
+/// shortest charge.
 fn cheapest<'a>(
     catalog: &'a Catalog,
     d: &Demand<'_>,
     left: u64,
-    drained: Micros,
+    backlog: Backlog,
     offered: &dyn Fn(&Offer) -> bool,
 ) -> Option<(&'a MachineType, Offer)> {
     let dear = price_limit(catalog, d.spec);
@@ -150,12 +169,12 @@
         for zone in &t.zones {
             for spot in [true, false] {
                 let offer = Offer { build: t.name.clone(), yard: zone.clone(), spot };
-                let worth = if core_price(t, spot) > dear && drained < Micros::FOREVER {
-                    // Only for what would be late otherwise and will not be with it.
-                    drained > d.slack && comes_up < d.slack
-                } else {
-                    drained > d.slack.min(comes_up)
-                };
+                // There must still be something for it to do when it comes up.
+                let some = u128::from(d.spec.need.cores) * u128::from(d.run.0) * u128::from(per_machine) / 2;
+                let useful = backlog.cores == 0 || backlog.after(comes_up) >= some;
+                // What is dear is only for what would be late otherwise and will not be with it.
+                let late = backlog.drained() > d.slack && comes_up < d.slack;
+                let worth = useful && (late || backlog.cores == 0 || core_price(t, spot) <= dear);
                 if !worth || !d.spec.allows(&t.name, zone, spot) || !offered(&offer) {
                     continue;
                 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -224,14 +224,14 @@
         self.view.machine(m).is_none()
             && k.status != HostStatus::Failed
             && !self.fleet.released.contains(&m)
-            && self.now.steady.since(k.since) < self.boot_patience(&k.build, 1)
+            && self.now.steady.since(k.since) < self.boot_patience(&k.build, 3)
     }
 
     /// How long a machine of this type may take to come up before it no longer counts as coming
-    /// (`times` 1), or is given up (3).
-    fn boot_patience(&self, build: &str, times: u64) -> Micros {
+    /// (`halves` 3), or is given up (6): in halves of its nominal boot time.
+    fn boot_patience(&self, build: &str, halves: u64) -> Micros {
         let boot = self.view.machine_type(build).map_or(Micros::secs(60), |t| t.boot);
-        Micros(boot.0 * 2) * times + Micros::secs(10)
+        Micros(boot.0 / 2) * halves + Micros::secs(5)
     }
 
     fn write_fleet(&mut self, record: FleetRecord, new: Vec<HireRecord>) {
@@ -482,7 +482,7 @@
         for (m, k) in &self.fleet.known {
             let age = now.since(k.since);
             let unused = self.view.machine(*m).is_none() && k.status != HostStatus::Failed;
-            if unused && !self.fleet.released.contains(m) && age > self.boot_patience(&k.build, 3) {
+            if unused && !self.fleet.released.contains(m) && age > self.boot_patience(&k.build, 6) {
                 tracing::info!(machine = %m, age = %age, "never came up, returning");
                 release.push(*m);
             }
