--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -235,10 +235,13 @@
         }
     }
 
-    /// Applies changes in order. Those that are in already are passed over.
+    /// Applies changes in order. Those that are in already are passed over; so is everything up to
+    /// the copy's epoch: the answer to an own commit may come long after the watch has brought it
+    /// and what followed, and must not bring back a job that has ended since.
     pub fn apply(&mut self, changes: impl IntoIterator<Item = Change>, touched: &mut Touched) {
         for c in changes {
-            if c.stamp <= self.stamp(&c.key) || self.gone.get(&c.key).is_some_and(|s| c.stamp <= *s) {
+            let known = self.epoch.max(self.stamp(&c.key));
+            if c.stamp <= known || self.gone.get(&c.key).is_some_and(|s| c.stamp <= *s) {
                 continue;
             }
             self.latest = self.latest.max(c.stamp);
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -271,12 +271,17 @@
                     })
                     .collect();
                 self.view.apply(changes, &mut touched);
-                for w in &batch {
+                for w in batch {
                     if let Wish::Submit(spec) = &w.wish {
                         tracing::info!(job = %w.id, lane = spec.lane, crew = spec.crew, pieces = spec.pieces, "accepted");
                     }
+                    // The watch may have brought its cancellation, or its end, before this answer.
+                    if self.view.jobs.get(&w.id).is_none_or(|j| j.record.cancelled) {
+                        self.await_read(w);
+                        continue;
+                    }
                     let answer = JobAnswer { id: w.id, status: JobStatus::Queued, done: 0, running: 0 };
-                    self.answer(w, UserAnswer::Accepted(answer));
+                    self.answer(&w, UserAnswer::Accepted(answer));
                 }
                 self.on_touched_view(&touched);
             }
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -44,6 +44,8 @@
     Repeat,
     /// Direct commands arrive when it is over, everything else at once.
     LateCommands,
+    /// Every message takes up to two seconds, each on its own.
+    Slow,
     /// Only answers are lost.
     Deaf,
 }
@@ -267,6 +269,7 @@
             "drop" => Mode::Drop,
             "hold" => Mode::Hold,
             "repeat" => Mode::Repeat,
+            "slow" => Mode::Slow,
             "late-commands" => Mode::LateCommands,
             "deaf" => Mode::Deaf,
             _ => return None,
