--- a/src/bookkeeping/job.rs
+++ b/src/bookkeeping/job.rs
@@ -83,7 +83,7 @@
     pub due: Option<Micros>,
 }
 
-fn is_false(b: &bool) -> bool {
+pub(crate) fn is_false(b: &bool) -> bool {
     !*b
 }
 
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -154,7 +154,7 @@
     #[serde(rename = "y")]
     pub yard: String,
     /// Spot.
-    #[serde(rename = "s", default, skip_serializing_if = "is_false")]
+    #[serde(rename = "s", default, skip_serializing_if = "super::job::is_false")]
     pub spot: bool,
     /// The worker's address.
     #[serde(rename = "e")]
@@ -176,10 +176,6 @@
     pub preempted: Vec<Booking>,
 }
 
-fn is_false(b: &bool) -> bool {
-    !*b
-}
-
 fn is_up(f: &Fitness) -> bool {
     *f == Fitness::Up
 }
@@ -263,7 +259,7 @@
     #[serde(rename = "y")]
     pub yard: String,
     /// Spot.
-    #[serde(rename = "s", default, skip_serializing_if = "is_false")]
+    #[serde(rename = "s", default, skip_serializing_if = "super::job::is_false")]
     pub spot: bool,
     /// How many were asked for.
     #[serde(rename = "c")]
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -424,8 +424,7 @@
     fn preempts(&self, job: &Job) -> bool {
         let now = self.now.day;
         let latest = self.latest_start(job);
-        let at_once = self.objectives(job.spec()).any(|o| matches!(o, ObjectiveKind::Wait(_)));
-        at_once || latest < now + Micros::secs(5) && now < latest + job.spec().guess
+        self.starts_at_once(job.spec()) || latest < now + Micros::secs(5) && now < latest + job.spec().guess
     }
 
     /// Whether one more task of the job is beyond its team's guarantee.
@@ -477,13 +476,20 @@
     pub(super) fn price_limit(&self, job: &Job) -> u64 {
         let spec = job.spec();
         let margin = Micros::secs(10) + Micros(spec.guess.0 / 4);
-        let at_once = self.objectives(spec).any(|o| matches!(o, ObjectiveKind::Wait(_)));
+
         match &self.view.types.value {
-            Some(catalog) if !at_once && self.latest_start(job) >= self.now.day + margin => price_limit(catalog, spec),
+            Some(catalog) if !self.starts_at_once(spec) && self.latest_start(job) >= self.now.day + margin => {
+                price_limit(catalog, spec)
+            }
             _ => u64::MAX,
         }
     }
 
+    /// Whether the objectives want tasks of this class started at once.
+    fn starts_at_once(&self, spec: &JobSpec) -> bool {
+        self.objectives(spec).any(|o| matches!(o, ObjectiveKind::Wait(_)))
+    }
+
     fn objectives<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = ObjectiveKind> + 'a {
         let of_class = |class: &Option<String>| class.as_ref().is_none_or(|c| *c == spec.lane);
         self.cfg.objectives.iter().filter(move |o| of_class(&o.class)).map(|o| o.kind)
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -270,8 +270,8 @@
     }
 
     /// What the worker must be told, by its newest report and the copy. What the report proves is
-    /// handed to the next round. `direct`: not in answer to a report, so that an earlier answer
-    /// may still be on its way.
+    /// handed to the next round. `in_answer`: to a report; otherwise an earlier answer may still be
+    /// on its way.
     fn orders(&mut self, k: Slice, machine: MachineId, in_answer: bool) -> Vec<Order> {
         let mut orders = Vec::new();
         let now = self.now.steady;
