--- /dev/null
+++ b/src/bookkeeping/mod.rs
@@ -0,0 +1,12 @@
+//! Records, the private copy of the cluster's state, and the pure planners.
+
+pub mod amount;
+pub mod catalog;
+pub mod finished;
+pub mod fleet;
+pub mod ids;
+pub mod job;
+pub mod placement;
+pub mod records;
+pub mod time;
+pub mod view;
--- /dev/null
+++ b/src/bookkeeping/view.rs
@@ -0,0 +1,420 @@
+//! The private copy of the whole state.
+//!
+//! It is brought forward by the watch, one consistent epoch at a time, and by the controller's own
+//! commits. The latter may run ahead of the watch: every commit that touches the bookings of a
+//! slice's jobs writes that slice's usage record conditionally, so a commit that succeeded proves
+//! that the copy had missed nothing of that slice.
+
+use super::amount::Amount;
+use super::catalog::{Catalog, MachineType};
+use super::finished::{CHUNK, Finished};
+use super::ids::{JobId, MachineId, Slice, TaskId};
+use super::job::{JobRecord, JobSpec};
+use super::records::{
+    Booking, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord, OwnRecord,
+    UsageRecord,
+};
+use std::collections::{BTreeMap, HashMap};
+
+/// A record's new content.
+#[derive(Clone, Debug)]
+pub enum Content {
+    /// See [`MetaRecord`].
+    Meta(MetaRecord),
+    /// See [`Catalog`].
+    Types(Catalog),
+    /// See [`FleetRecord`].
+    Fleet(FleetRecord),
+    /// See [`NodeRecord`].
+    Node(NodeRecord),
+    /// See [`OwnRecord`].
+    Own(OwnRecord),
+    /// See [`GroupRecord`].
+    Group(GroupRecord),
+    /// See [`UsageRecord`].
+    Usage(UsageRecord),
+    /// See [`JobRecord`].
+    Job(Box<JobRecord>),
+    /// A chunk of a finished set.
+    Chunk(Finished),
+}
+
+/// One change of one key; `None` removes it.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// The key.
+    pub key: Key,
+    /// Its new content.
+    pub content: Option<Content>,
+    /// Revision of the change.
+    pub stamp: u64,
+}
+
+/// A value with the revision of its last change, 0 if it does not exist.
+#[derive(Clone, Debug, Default)]
+pub struct Stamped<T> {
+    /// The value.
+    pub value: T,
+    /// Its revision.
+    pub stamp: u64,
+}
+
+/// A live job in the copy.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its record.
+    pub record: JobRecord,
+    /// The record's revision.
+    pub stamp: u64,
+    /// Further chunks of the finished set.
+    pub chunks: BTreeMap<u32, Stamped<Finished>>,
+}
+
+impl Job {
+    /// Whether the task is finished.
+    pub fn finished(&self, index: u32) -> bool {
+        match index / CHUNK {
+            0 => self.record.finished.has(index),
+            n if self.record.full >> n & 1 == 1 => true,
+            n => self
+                .chunks
+                .get(&n)
+                .is_some_and(|c| c.value.has(index % CHUNK)),
+        }
+    }
+
+    /// What was asked for.
+    pub fn spec(&self) -> &JobSpec {
+        &self.record.spec
+    }
+}
+
+/// Where a task is booked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The machine.
+    pub machine: MachineId,
+    /// The attempt's number.
+    pub number: u64,
+}
+
+/// What applying changes did, for those who must act on it.
+#[derive(Clone, Debug, Default)]
+pub struct Touched {
+    /// Slices whose owner changed.
+    pub own: Vec<Slice>,
+    /// Slices whose machines or bookings changed.
+    pub groups: Vec<Slice>,
+    /// Slices whose usage changed.
+    pub usage: bool,
+    /// Jobs that came, changed or went.
+    pub jobs: Vec<JobId>,
+    /// A controller came or went.
+    pub nodes: bool,
+}
+
+/// The private copy.
+#[derive(Debug, Default)]
+pub struct View {
+    /// All changes up to this revision are in.
+    pub epoch: u64,
+    /// The latest revision of which anything is in.
+    pub latest: u64,
+    /// Slices and teams.
+    pub meta: Stamped<Option<MetaRecord>>,
+    /// Machine types.
+    pub types: Stamped<Option<Catalog>>,
+    /// The fleet's plan.
+    pub fleet: Stamped<FleetRecord>,
+    /// Live controllers.
+    pub nodes: BTreeMap<String, Stamped<NodeRecord>>,
+    /// Owners, by slice.
+    pub own: Vec<Stamped<Option<OwnRecord>>>,
+    /// Groups, by slice.
+    pub groups: Vec<Stamped<GroupRecord>>,
+    /// Usage, by slice.
+    pub usage: Vec<Stamped<UsageRecord>>,
+    /// Live jobs.
+    pub jobs: HashMap<JobId, Job>,
+    booked: HashMap<JobId, BTreeMap<u32, Place>>,
+    gone: HashMap<Key, u64>,
+}
+
+impl View {
+    /// Number of slices, once known.
+    pub fn slices(&self) -> usize {
+        self.meta.value.as_ref().map_or(0, |m| m.slices)
+    }
+
+    fn size_for(&mut self, k: Slice) {
+        let n = (k + 1).max(self.slices());
+        if self.own.len() < n {
+            self.own.resize_with(n, Default::default);
+            self.groups.resize_with(n, Default::default);
+            self.usage.resize_with(n, Default::default);
+        }
+    }
+
+    /// Slice of a machine.
+    pub fn machine_slice(&self, m: MachineId) -> Slice {
+        (m.0 % self.slices().max(1) as u64) as Slice
+    }
+
+    /// Slice of a job: by team, or by job where teams have no say.
+    pub fn job_slice(&self, id: JobId, spec: &JobSpec) -> Slice {
+        let Some(meta) = &self.meta.value else {
+            return 0;
+        };
+        match meta.teams.get(&spec.crew) {
+            Some(&k) if k < meta.slices => k,
+            // The job ids come in no order; a multiplicative hash spreads runs of them too.
+            _ => {
+                ((id.0.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33) % meta.slices.max(1) as u64)
+                    as Slice
+            }
+        }
+    }
+
+    /// The machine's record.
+    pub fn machine(&self, m: MachineId) -> Option<&MachineRecord> {
+        self.groups
+            .get(self.machine_slice(m))?
+            .value
+            .machines
+            .get(&m)
+    }
+
+    /// All machines of all groups.
+    pub fn machines(&self) -> impl Iterator<Item = (Slice, MachineId, &MachineRecord)> {
+        self.groups
+            .iter()
+            .enumerate()
+            .flat_map(|(k, g)| g.value.machines.iter().map(move |(m, r)| (k, *m, r)))
+    }
+
+    /// The type of this name.
+    pub fn machine_type(&self, name: &str) -> Option<&MachineType> {
+        self.types.value.as_ref()?.get(name)
+    }
+
+    /// Where the tasks of a job are booked.
+    pub fn booked(&self, job: JobId) -> Option<&BTreeMap<u32, Place>> {
+        self.booked.get(&job)
+    }
+
+    /// Where a task is booked.
+    pub fn place(&self, task: TaskId) -> Option<Place> {
+        self.booked.get(&task.job)?.get(&task.index).copied()
+    }
+
+    /// What a task of this job takes; nothing for a job that is not live.
+    pub fn need(&self, job: JobId) -> Amount {
+        self.jobs
+            .get(&job)
+            .map(|j| j.record.spec.need)
+            .unwrap_or_default()
+    }
+
+    /// Room left on a machine beside its bookings.
+    pub fn free(&self, record: &MachineRecord) -> Amount {
+        let mut room = self
+            .machine_type(&record.build)
+            .map(|t| t.room)
+            .unwrap_or_default();
+        for b in &record.tasks {
+            room -= self.need(JobId(b.0));
+        }
+        room
+    }
+
+    /// Tasks of a job that are neither finished nor booked, in order.
+    pub fn pending<'a>(&'a self, id: JobId, job: &'a Job) -> impl Iterator<Item = u32> + 'a {
+        let booked = self.booked.get(&id);
+        (0..job.record.spec.pieces)
+            .filter(move |i| !job.finished(*i) && booked.is_none_or(|b| !b.contains_key(i)))
+    }
+
+    /// How many tasks of a job are neither finished nor booked.
+    pub fn pending_count(&self, id: JobId, job: &Job) -> u32 {
+        let booked = self.booked.get(&id).map_or(0, |b| b.len() as u32);
+        job.record
+            .spec
+            .pieces
+            .saturating_sub(job.record.done() + booked)
+    }
+
+    /// The revision of a key as the copy knows it.
+    pub fn stamp(&self, key: &Key) -> u64 {
+        match key {
+            Key::Meta => self.meta.stamp,
+            Key::Types => self.types.stamp,
+            Key::Fleet => self.fleet.stamp,
+            Key::Node(n) => self.nodes.get(n).map_or(0, |s| s.stamp),
+            Key::Own(k) => self.own.get(*k).map_or(0, |s| s.stamp),
+            Key::Group(k) => self.groups.get(*k).map_or(0, |s| s.stamp),
+            Key::Usage(k) => self.usage.get(*k).map_or(0, |s| s.stamp),
+            Key::Job(j) => self.jobs.get(j).map_or(0, |s| s.stamp),
+            Key::Chunk(j, n) => self
+                .jobs
+                .get(j)
+                .and_then(|s| s.chunks.get(n))
+                .map_or(0, |c| c.stamp),
+            Key::Final(_) => 0,
+        }
+    }
+
+    /// Applies changes in order. Those that are in already are passed over.
+    pub fn apply(&mut self, changes: impl IntoIterator<Item = Change>, touched: &mut Touched) {
+        for c in changes {
+            if c.stamp <= self.stamp(&c.key) || self.gone.get(&c.key).is_some_and(|s| c.stamp <= *s)
+            {
+                continue;
+            }
+            self.latest = self.latest.max(c.stamp);
+            self.apply_one(c, touched);
+        }
+    }
+
+    /// Marks all changes up to `epoch` as applied.
+    pub fn advance(&mut self, epoch: u64) {
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.latest = self.latest.max(epoch);
+            self.gone.retain(|_, s| *s > epoch);
+        }
+    }
+
+    fn apply_one(&mut self, c: Change, touched: &mut Touched) {
+        let stamp = if c.content.is_some() { c.stamp } else { 0 };
+        if c.content.is_none() {
+            self.gone.insert(c.key.clone(), c.stamp);
+        }
+        match (c.key, c.content) {
+            (Key::Meta, Some(Content::Meta(value))) => {
+                let last = value.slices.saturating_sub(1);
+                self.meta = Stamped {
+                    value: Some(value),
+                    stamp,
+                };
+                self.size_for(last);
+            }
+            (Key::Types, Some(Content::Types(value))) => {
+                self.types = Stamped {
+                    value: Some(value),
+                    stamp,
+                };
+                touched.usage = true;
+            }
+            (Key::Fleet, Some(Content::Fleet(value))) => self.fleet = Stamped { value, stamp },
+            (Key::Node(name), Some(Content::Node(value))) => {
+                self.nodes.insert(name, Stamped { value, stamp });
+                touched.nodes = true;
+            }
+            (Key::Node(name), None) => {
+                self.nodes.remove(&name);
+                touched.nodes = true;
+            }
+            (Key::Own(k), content) => {
+                self.size_for(k);
+                let value = match content {
+                    Some(Content::Own(o)) => Some(o),
+                    _ => None,
+                };
+                self.own[k] = Stamped { value, stamp };
+                touched.own.push(k);
+            }
+            (Key::Group(k), content) => {
+                self.size_for(k);
+                let value = match content {
+                    Some(Content::Group(g)) => g,
+                    _ => GroupRecord::default(),
+                };
+                self.index_group(k, value, stamp);
+                touched.groups.push(k);
+            }
+            (Key::Usage(k), content) => {
+                self.size_for(k);
+                let value = match content {
+                    Some(Content::Usage(u)) => u,
+                    _ => UsageRecord::default(),
+                };
+                self.usage[k] = Stamped { value, stamp };
+                touched.usage = true;
+            }
+            (Key::Job(id), Some(Content::Job(record))) => {
+                let record = *record;
+                match self.jobs.get_mut(&id) {
+                    Some(job) => {
+                        job.record = record;
+                        job.stamp = stamp;
+                    }
+                    None => {
+                        let chunks = BTreeMap::new();
+                        self.jobs.insert(
+                            id,
+                            Job {
+                                record,
+                                stamp,
+                                chunks,
+                            },
+                        );
+                    }
+                }
+                touched.jobs.push(id);
+            }
+            (Key::Job(id), None) => {
+                self.jobs.remove(&id);
+                touched.jobs.push(id);
+            }
+            (Key::Chunk(id, n), Some(Content::Chunk(value))) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.chunks.insert(n, Stamped { value, stamp });
+                }
+            }
+            (Key::Chunk(id, n), None) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.chunks.remove(&n);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn index_group(&mut self, k: Slice, value: GroupRecord, stamp: u64) {
+        let old = std::mem::replace(&mut self.groups[k], Stamped { value, stamp });
+        for (m, record) in &old.value.machines {
+            for Booking(job, index, number) in &record.tasks {
+                let place = Place {
+                    machine: *m,
+                    number: *number,
+                };
+                if let Some(tasks) = self.booked.get_mut(&JobId(*job)) {
+                    // A task that moved is indexed at its new place already.
+                    if tasks.get(index) == Some(&place) {
+                        tasks.remove(index);
+                    }
+                    if tasks.is_empty() {
+                        self.booked.remove(&JobId(*job));
+                    }
+                }
+            }
+        }
+        for (m, record) in &self.groups[k].value.machines {
+            for Booking(job, index, number) in &record.tasks {
+                let place = Place {
+                    machine: *m,
+                    number: *number,
+                };
+                self.booked
+                    .entry(JobId(*job))
+                    .or_default()
+                    .insert(*index, place);
+            }
+        }
+    }
+
+    /// Forgets everything before a full reread; revisions start anew.
+    pub fn clear(&mut self) {
+        *self = View::default();
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,604 @@
+//! Hiring and returning machines: the work of slice 0's owner, who alone talks to the cloud.
+
+use super::{Call, CallId, Controller, Effect, Purpose};
+use crate::bookkeeping::amount::Amount;
+use crate::bookkeeping::catalog::Catalog;
+use crate::bookkeeping::fleet::{Demand, Load, Offer, Room, plan};
+use crate::bookkeeping::ids::MachineId;
+use crate::bookkeeping::records::{Fitness, FleetRecord, HireRecord, Key};
+use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::{Change, Content, Touched};
+use crate::protocol::cloud::{
+    CloudReply, CloudRequest, HIRE_LIMIT, Host, HostStatus, RELEASE_LIMIT,
+};
+use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Why the cloud was asked.
+#[derive(Debug)]
+pub enum CloudPurpose {
+    /// Types and prices.
+    Catalog,
+    /// A rental.
+    Hire(HireRecord),
+    /// A return.
+    Release(Vec<MachineId>),
+    /// A page of the list.
+    List(Vec<Host>),
+}
+
+/// A machine that the cloud is known to charge for.
+#[derive(Clone, Debug)]
+struct Known {
+    build: String,
+    yard: String,
+    spot: bool,
+    since: Micros,
+    status: HostStatus,
+    /// When a list last held it.
+    listed: Option<Micros>,
+}
+
+/// What the fleet's owner knows.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    looking: bool,
+    next: Micros,
+    next_list: Micros,
+    next_catalog: Micros,
+    asking_catalog: bool,
+    listing: bool,
+    list_sent: Micros,
+    /// Lists completed since the tenure began.
+    lists: u32,
+    known: BTreeMap<MachineId, Known>,
+    idle: HashMap<MachineId, Micros>,
+    lost: HashMap<MachineId, Micros>,
+    released: BTreeSet<MachineId>,
+    releasing: BTreeSet<MachineId>,
+    hiring: usize,
+    writing: bool,
+    none_left: HashMap<Offer, (Micros, u32)>,
+    counter: u64,
+    trouble_until: Micros,
+}
+
+impl Fleet {
+    /// Something changed that may call for machines.
+    pub fn look(&mut self) {
+        self.looking = true;
+    }
+}
+
+impl Controller {
+    const CLOUD_LIMIT: Micros = Micros::secs(5);
+
+    pub(super) fn end_fleet(&mut self) {
+        let counter = self.fleet.counter;
+        self.fleet = Fleet {
+            counter,
+            ..Fleet::default()
+        };
+        self.rounds.drop_fleet();
+    }
+
+    fn ask_cloud(&mut self, purpose: CloudPurpose, request: CloudRequest) {
+        let id = self.call(Purpose::Cloud(purpose));
+        self.out.push(Effect::Cloud(id, request, Self::CLOUD_LIMIT));
+    }
+
+    pub(super) fn pump_fleet(&mut self) {
+        let now = self.now.steady;
+        if !self.owns(0) || !self.reader.ready() {
+            return;
+        }
+        if now < self.fleet.next {
+            self.wake_at(self.fleet.next);
+            return;
+        }
+        self.fleet.next = now + Micros::millis(500);
+        self.wake_at(self.fleet.next);
+        if now < self.fleet.trouble_until {
+            return;
+        }
+        if now >= self.fleet.next_catalog && !self.fleet.asking_catalog {
+            self.fleet.asking_catalog = true;
+            self.ask_cloud(CloudPurpose::Catalog, CloudRequest::Catalog);
+        }
+        if now >= self.fleet.next_list && !self.fleet.listing {
+            self.fleet.listing = true;
+            self.fleet.list_sent = now;
+            self.ask_cloud(CloudPurpose::List(Vec::new()), CloudRequest::List(None));
+        }
+        // Before the first list it is not known what an earlier owner has hired.
+        if self.view.types.value.is_none() || self.fleet.lists == 0 {
+            return;
+        }
+        self.return_machines();
+        if self.fleet.looking && self.fleet.hiring == 0 && !self.fleet.writing {
+            self.fleet.looking = false;
+            self.hire_machines();
+        }
+    }
+
+    /// Cores that the tasks of live jobs still want, and what is there to take them.
+    fn hire_machines(&mut self) {
+        let now = self.now.steady;
+        let Some(catalog) = self.view.types.value.clone() else {
+            return;
+        };
+        let mut jobs: Vec<_> = self
+            .view
+            .jobs
+            .iter()
+            .filter(|(id, j)| !j.record.cancelled && self.view.pending_count(**id, j) > 0)
+            .collect();
+        jobs.sort_by_key(|(id, j)| (j.spec().urgency, self.latest_start(j), **id));
+        let mut left: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+        let mut demands = Vec::new();
+        for (id, j) in jobs {
+            let spec = j.spec();
+            let k = self.view.job_slice(*id, spec);
+            let used = left
+                .entry(&spec.crew)
+                .or_insert_with(|| self.view.usage[k].value.of(&spec.crew));
+            let mut count = u64::from(self.view.pending_count(*id, j));
+            if let Some(limit) = self.cfg.team(&spec.crew).and_then(|t| t.cores_limit) {
+                if spec.need.cores > 0 {
+                    count = count.min(limit.saturating_sub(used.0) / spec.need.cores);
+                }
+            }
+            used.0 += count * spec.need.cores;
+            if count > 0 {
+                demands.push(Demand {
+                    spec,
+                    count,
+                    slack: self.latest_start(j).since(self.now.day),
+                    run: spec.guess,
+                });
+            }
+        }
+        if demands.is_empty() {
+            return;
+        }
+        let mut rooms: Vec<Room<'_>> = Vec::new();
+        let mut load = Load::default();
+        for (_, _, r) in self.view.machines() {
+            if r.fitness != Fitness::Up {
+                continue;
+            }
+            load.cores += self.view.machine_type(&r.build).map_or(0, |t| t.room.cores);
+            for b in &r.tasks {
+                if let Some(j) = self.view.jobs.get(&b.attempt().task.job) {
+                    // Half of what it takes is over, on the average.
+                    load.work += u128::from(j.spec().need.cores) * u128::from(j.spec().guess.0 / 2);
+                }
+            }
+            rooms.push(Room {
+                build: &r.build,
+                yard: &r.yard,
+                spot: r.spot,
+                free: self.view.free(r),
+            });
+        }
+        for (m, k) in &self.fleet.known {
+            if self.boots(*m, k) {
+                let room = self
+                    .view
+                    .machine_type(&k.build)
+                    .map_or(Amount::default(), |t| t.room);
+                load.cores += room.cores;
+                rooms.push(Room {
+                    build: &k.build,
+                    yard: &k.yard,
+                    spot: k.spot,
+                    free: room,
+                });
+            }
+        }
+        // Rentals of an earlier owner whose machines no list shows yet.
+        for h in &self.view.fleet.value.hires {
+            let age = self.now.day.since(h.at);
+            let shown =
+                |m: &MachineId| self.fleet.known.contains_key(m) || self.view.machine(*m).is_some();
+            if age < self.cfg.list_lag * 2 + Micros::secs(8) && !h.machines.iter().any(shown) {
+                let room = self
+                    .view
+                    .machine_type(&h.build)
+                    .map_or(Amount::default(), |t| t.room);
+                for _ in 0..h.count {
+                    load.cores += room.cores;
+                    rooms.push(Room {
+                        build: &h.build,
+                        yard: &h.yard,
+                        spot: h.spot,
+                        free: room,
+                    });
+                }
+            }
+        }
+        let none_left = &self.fleet.none_left;
+        let offered = |o: &Offer| none_left.get(o).is_none_or(|(until, _)| *until <= now);
+        let hires = plan(&catalog, &demands, &mut rooms, load, &offered);
+        if hires.is_empty() {
+            return;
+        }
+        let mut record = self.view.fleet.value.clone();
+        let old = self.cfg.list_lag * 4 + Micros::secs(60);
+        record.hires.retain(|h| self.now.day.since(h.at) < old);
+        let mut new = Vec::new();
+        for (offer, count) in hires {
+            self.fleet.counter += 1;
+            new.push(HireRecord {
+                // Never used again, not even by another process or after a restart.
+                name: format!(
+                    "{}-{:016x}-{}",
+                    self.cfg.node, self.run.0, self.fleet.counter
+                ),
+                build: offer.build,
+                yard: offer.yard,
+                spot: offer.spot,
+                count: count.min(HIRE_LIMIT),
+                at: self.now.day,
+                machines: Vec::new(),
+            });
+        }
+        record.hires.extend(new.iter().cloned());
+        if record.hires.len() > 24 {
+            let over = record.hires.len() - 24;
+            record.hires.drain(..over);
+        }
+        self.write_fleet(record);
+    }
+
+    /// Whether a known machine is still expected to come up.
+    fn boots(&self, m: MachineId, k: &Known) -> bool {
+        self.view.machine(m).is_none()
+            && k.status != HostStatus::Failed
+            && !self.fleet.released.contains(&m)
+            && self.now.steady.since(k.since) < self.boot_patience(&k.build, 1)
+    }
+
+    /// How long a machine of this type may take to come up before it no longer counts as coming
+    /// (`times` 1), or is given up (3).
+    fn boot_patience(&self, build: &str, times: u64) -> Micros {
+        let boot = self
+            .view
+            .machine_type(build)
+            .map_or(Micros::secs(60), |t| t.boot);
+        Micros(boot.0 * 2) * times + Micros::secs(10)
+    }
+
+    fn write_fleet(&mut self, record: FleetRecord) {
+        let txn = Txn {
+            when: vec![
+                (Key::Own(0), self.view.stamp(&Key::Own(0))),
+                (Key::Fleet, self.view.fleet.stamp),
+            ],
+            then: vec![Put {
+                key: Key::Fleet,
+                value: encode(&record),
+                permit: None,
+            }],
+        };
+        self.fleet.writing = true;
+        self.budget.force(self.now.steady, 1);
+        self.ask_state(Purpose::Fleet(Box::new(record)), StateRequest::Txn(txn));
+    }
+
+    pub(super) fn on_fleet_written(
+        &mut self,
+        record: FleetRecord,
+        result: Result<StateReply, CallError>,
+    ) {
+        self.fleet.writing = false;
+        self.fleet.looking = true;
+        let Ok(StateReply::Applied(stamp)) = result else {
+            self.reader.want_barrier();
+            return;
+        };
+        let before: BTreeSet<String> = self
+            .view
+            .fleet
+            .value
+            .hires
+            .iter()
+            .map(|h| h.name.clone())
+            .collect();
+        let new: Vec<HireRecord> = record
+            .hires
+            .iter()
+            .filter(|h| !before.contains(&h.name))
+            .cloned()
+            .collect();
+        let change = Change {
+            key: Key::Fleet,
+            content: Some(Content::Fleet(record)),
+            stamp,
+        };
+        self.view.apply([change], &mut Touched::default());
+        if !self.owns(0) {
+            return;
+        }
+        for h in new {
+            tracing::info!(
+                hire = h.name,
+                build = h.build,
+                spot = h.spot,
+                count = h.count,
+                "hiring"
+            );
+            self.fleet.hiring += 1;
+            let request = CloudRequest::Hire {
+                name: h.name.clone(),
+                build: h.build.clone(),
+                yard: h.yard.clone(),
+                spot: h.spot,
+                count: h.count,
+            };
+            self.ask_cloud(CloudPurpose::Hire(h), request);
+        }
+    }
+
+    pub(super) fn on_cloud(&mut self, id: CallId, result: Result<CloudReply, CallError>) {
+        let Some(Call {
+            purpose: Purpose::Cloud(purpose),
+            ..
+        }) = self.calls.remove(&id)
+        else {
+            return;
+        };
+        if !self.owns(0) {
+            return;
+        }
+        let now = self.now.steady;
+        if matches!(
+            result,
+            Err(CallError::Unavailable | CallError::TooMany | CallError::Unknown)
+        ) {
+            self.fleet.trouble_until = now + Micros::millis(1_500);
+        }
+        match purpose {
+            CloudPurpose::Catalog => {
+                self.fleet.asking_catalog = false;
+                match result {
+                    Ok(CloudReply::Catalog(c)) => {
+                        self.fleet.next_catalog = now + Micros::secs(30);
+                        self.on_catalog(c);
+                    }
+                    _ => self.fleet.next_catalog = now + Micros::secs(1),
+                }
+            }
+            CloudPurpose::List(pages) => self.on_list(pages, result),
+            CloudPurpose::Hire(h) => self.on_hired(&h, result),
+            CloudPurpose::Release(machines) => self.on_released(&machines, result),
+        }
+    }
+
+    fn on_catalog(&mut self, new: Catalog) {
+        let moved = |a: u64, b: u64| a.abs_diff(b) * 20 > b.max(1);
+        let same = self.view.types.value.as_ref().is_some_and(|old| {
+            old.types.len() == new.types.len()
+                && old.types.iter().zip(&new.types).all(|(a, b)| {
+                    let mut b = b.clone();
+                    let small = !moved(a.spot_price, b.spot_price);
+                    b.spot_price = a.spot_price;
+                    small && *a == b
+                })
+        });
+        let value = encode(&new);
+        let size = value.as_ref().map_or(0, |v| v.get().len());
+        if same || size > self.cfg.value_bytes {
+            return;
+        }
+        let txn = Txn {
+            when: vec![
+                (Key::Own(0), self.view.stamp(&Key::Own(0))),
+                (Key::Types, self.view.types.stamp),
+            ],
+            then: vec![Put {
+                key: Key::Types,
+                value,
+                permit: None,
+            }],
+        };
+        self.budget.force(self.now.steady, 1);
+        self.ask_state(Purpose::Types(new), StateRequest::Txn(txn));
+    }
+
+    pub(super) fn on_types_written(
+        &mut self,
+        types: Catalog,
+        result: Result<StateReply, CallError>,
+    ) {
+        match result {
+            Ok(StateReply::Applied(stamp)) => {
+                let change = Change {
+                    key: Key::Types,
+                    content: Some(Content::Types(types)),
+                    stamp,
+                };
+                let mut touched = Touched::default();
+                self.view.apply([change], &mut touched);
+                self.on_touched_view(&touched);
+            }
+            _ => {
+                self.fleet.next_catalog = self.now.steady + Micros::secs(1);
+                self.reader.want_barrier();
+            }
+        }
+    }
+
+    fn on_hired(&mut self, h: &HireRecord, result: Result<CloudReply, CallError>) {
+        let now = self.now.steady;
+        self.fleet.hiring = self.fleet.hiring.saturating_sub(1);
+        self.fleet.looking = true;
+        let offer = Offer {
+            build: h.build.clone(),
+            yard: h.yard.clone(),
+            spot: h.spot,
+        };
+        match result {
+            Ok(CloudReply::Hired(machines)) => {
+                tracing::info!(
+                    hire = h.name,
+                    asked = h.count,
+                    got = machines.len(),
+                    "hired"
+                );
+                if (machines.len() as u32) < h.count {
+                    self.fleet
+                        .none_left
+                        .insert(offer, (now + Micros::secs(5), 1));
+                } else {
+                    self.fleet.none_left.remove(&offer);
+                }
+                for m in machines {
+                    self.fleet.known.entry(m).or_insert(Known {
+                        build: h.build.clone(),
+                        yard: h.yard.clone(),
+                        spot: h.spot,
+                        since: now,
+                        status: HostStatus::Starting,
+                        listed: None,
+                    });
+                }
+                self.forget_hire(&h.name);
+            }
+            Ok(CloudReply::NoCapacity) | Err(CallError::Refused) => {
+                let tries = self.fleet.none_left.get(&offer).map_or(0, |(_, n)| *n) + 1;
+                let pause = Micros::secs(3 * u64::from(tries.min(5)));
+                tracing::info!(build = h.build, spot = h.spot, pause = %pause, "none to be had");
+                self.fleet.none_left.insert(offer, (now + pause, tries));
+                self.forget_hire(&h.name);
+            }
+            // Perhaps hired: the record keeps it counted until a list would show it.
+            other => tracing::info!(hire = h.name, ?other, "the rental had no answer"),
+        }
+    }
+
+    /// What came of a rental is known: it no longer counts by its record. The copy of this
+    /// process alone is corrected; another owner would read the list first.
+    fn forget_hire(&mut self, name: &str) {
+        self.view.fleet.value.hires.retain(|h| h.name != name);
+    }
+
+    fn on_list(&mut self, mut hosts: Vec<Host>, result: Result<CloudReply, CallError>) {
+        let now = self.now.steady;
+        let Ok(CloudReply::Hosts(page, more)) = result else {
+            self.fleet.listing = false;
+            self.fleet.next_list = now + Micros::secs(2);
+            return;
+        };
+        hosts.extend(page);
+        if let (true, Some(last)) = (more, hosts.last()) {
+            let after = last.id;
+            self.ask_cloud(CloudPurpose::List(hosts), CloudRequest::List(Some(after)));
+            return;
+        }
+        self.fleet.listing = false;
+        self.fleet.next_list = now + Micros::secs(4);
+        self.fleet.lists += 1;
+        let sent = self.fleet.list_sent;
+        for h in hosts {
+            if h.status == HostStatus::Failed && self.view.machine(h.id).is_some() {
+                tracing::info!(machine = %h.id, "failed, says the cloud");
+                self.rounds.gone(h.id);
+            }
+            let known = self.fleet.known.entry(h.id).or_insert_with(|| Known {
+                build: h.build.clone(),
+                yard: h.yard.clone(),
+                spot: h.spot,
+                since: now - h.age,
+                status: h.status,
+                listed: None,
+            });
+            known.status = h.status;
+            known.listed = Some(sent);
+        }
+        let view = &self.view;
+        let old = self.cfg.list_lag * 3 + Micros::secs(20);
+        self.fleet.known.retain(|m, k| {
+            let last = k.listed.unwrap_or(k.since);
+            view.machine(*m).is_some() || now.since(last) < old
+        });
+    }
+
+    fn idle_limit(&self, build: &str) -> Micros {
+        let derived = self
+            .view
+            .machine_type(build)
+            .map_or(Micros::secs(30), |t| t.boot);
+        self.op.idle_s.map_or(derived, Micros::from_secs_f64)
+    }
+
+    fn return_machines(&mut self) {
+        let now = self.now.steady;
+        let mut release = Vec::new();
+        let mut marks = Vec::new();
+        let mut seen_idle = HashMap::new();
+        let mut seen_lost = HashMap::new();
+        for (_, m, r) in self.view.machines() {
+            let idle = r.tasks.is_empty();
+            let since = *self.fleet.idle.get(&m).unwrap_or(&now);
+            if idle {
+                seen_idle.insert(m, since);
+            }
+            match r.fitness {
+                Fitness::Releasing => release.push(m),
+                Fitness::Draining if idle => marks.push((m, "drained")),
+                Fitness::Lost => {
+                    let lost = *self.fleet.lost.get(&m).unwrap_or(&now);
+                    seen_lost.insert(m, lost);
+                    let quiet = now.since(lost);
+                    // Lists go back in time by up to twice their lag.
+                    let list = self.fleet.known.get(&m).and_then(|k| k.listed);
+                    let unlisted = quiet > self.cfg.list_lag * 2 + Micros::secs(2)
+                        && list.is_none_or(|t| t < lost + self.cfg.list_lag);
+                    if unlisted {
+                        marks.push((m, "silent and not listed"));
+                    } else if quiet > self.cfg.lease + Micros::secs(20) {
+                        marks.push((m, "silent for long"));
+                    }
+                }
+                Fitness::Up if idle && now.since(since) > self.idle_limit(&r.build) => {
+                    marks.push((m, "idle"))
+                }
+                _ => {}
+            }
+        }
+        self.fleet.idle = seen_idle;
+        self.fleet.lost = seen_lost;
+        for (m, why) in marks {
+            tracing::info!(machine = %m, why, "returning");
+            self.rounds.releasing(m);
+        }
+        for (m, k) in &self.fleet.known {
+            let age = now.since(k.since);
+            let unused = self.view.machine(*m).is_none() && k.status != HostStatus::Failed;
+            if unused && !self.fleet.released.contains(m) && age > self.boot_patience(&k.build, 3) {
+                tracing::info!(machine = %m, age = %age, "never came up, returning");
+                release.push(*m);
+            }
+        }
+        release.retain(|m| !self.fleet.releasing.contains(m));
+        release.truncate(RELEASE_LIMIT);
+        if !release.is_empty() {
+            self.fleet.releasing.extend(&release);
+            self.fleet.released.extend(&release);
+            let request = CloudRequest::Release(release.clone());
+            self.ask_cloud(CloudPurpose::Release(release), request);
+        }
+    }
+
+    fn on_released(&mut self, machines: &[MachineId], result: Result<CloudReply, CallError>) {
+        for m in machines {
+            self.fleet.releasing.remove(m);
+            if result == Ok(CloudReply::Released) {
+                tracing::info!(machine = %m, "returned");
+                self.fleet.known.remove(m);
+                self.rounds.gone(*m);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,396 @@
+//! The controller: events and the time go in, effects come out.
+//!
+//! Nothing here does I/O or reads a clock, so the scenario runner can drive several controllers
+//! through any order of messages.
+
+mod budget;
+mod draft;
+mod fleet;
+mod ownership;
+mod reader;
+mod rounds;
+mod sessions;
+mod users;
+
+use crate::bookkeeping::ids::{JobId, MachineId, Slice};
+use crate::bookkeeping::records::Incarnation;
+use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::{Touched, View};
+use crate::protocol::cloud::{CloudReply, CloudRequest};
+use crate::protocol::operator::OperatorSettings;
+use crate::protocol::peer::PeerHint;
+use crate::protocol::settings::Settings;
+use crate::protocol::state::{CallError, StateReply, StateRequest};
+use crate::protocol::user::{UserAnswer, UserRequest};
+use crate::protocol::worker::{Report, ReportAnswer};
+use budget::Budget;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// The time: by the process's own steady clock, and of day.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Now {
+    /// Steady, from the start of the process.
+    pub steady: Micros,
+    /// Time of day; off by at most the bound in the settings.
+    pub day: Micros,
+}
+
+/// Names a request that waits for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// Something that happened.
+#[derive(Debug)]
+pub enum Event {
+    /// The process began, or time passed.
+    Tick,
+    /// A user asks; the answer goes to this call.
+    User(CallId, UserRequest),
+    /// A submission that is malformed but names its job.
+    BadSubmission(CallId, JobId, &'static str),
+    /// A worker reports; the answer goes to this call.
+    Report(CallId, Report),
+    /// The state service answered, or did not.
+    State(CallId, Result<StateReply, CallError>),
+    /// The cloud answered, or did not.
+    Cloud(CallId, Result<CloudReply, CallError>),
+    /// A worker answered a direct command: its report if there was any answer, and whether the
+    /// command was carried out.
+    Direct(CallId, Option<(bool, Report)>),
+    /// A peer told of itself.
+    Peer(PeerHint),
+}
+
+/// Something to be done.
+#[derive(Debug)]
+pub enum Effect {
+    /// Ask the state service, for at most this long.
+    State(CallId, StateRequest, Micros),
+    /// Ask the cloud.
+    Cloud(CallId, CloudRequest, Micros),
+    /// Send a direct command to a worker.
+    Direct {
+        /// The call.
+        call: CallId,
+        /// The worker's address.
+        endpoint: String,
+        /// The command's body.
+        body: Vec<u8>,
+        /// How long to wait.
+        limit: Micros,
+    },
+    /// Answer a user.
+    User(CallId, UserAnswer),
+    /// Answer a worker's report.
+    Report(CallId, ReportAnswer),
+    /// Tell all peers.
+    Peers(PeerHint),
+}
+
+/// Why a request was sent; what to do with its answer.
+#[derive(Debug)]
+enum Purpose {
+    Watch,
+    Barrier,
+    Page { first: Option<u64> },
+    Grant,
+    Touch,
+    Node,
+    Meta,
+    Claim(Vec<Slice>),
+    Submit(Vec<users::Waiting>),
+    Abort(users::Waiting),
+    Final(users::Waiting),
+    Round(Box<rounds::InFlight>),
+    Types(crate::bookkeeping::catalog::Catalog),
+    Fleet(Box<crate::bookkeeping::records::FleetRecord>),
+    Cloud(fleet::CloudPurpose),
+    Direct(MachineId),
+}
+
+struct Call {
+    purpose: Purpose,
+    sent: Micros,
+}
+
+/// How a controller counts what it does, for its log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counters {
+    /// Rounds committed.
+    pub commits: u64,
+    /// Rounds that failed for a clash.
+    pub clashes: u64,
+    /// Rounds without an answer.
+    pub unknown: u64,
+    /// Claims dropped for a clash and planned again.
+    pub dropped: u64,
+    /// Claims committed.
+    pub booked: u64,
+    /// Bookings cleared.
+    pub cleared: u64,
+}
+
+/// One controller.
+pub struct Controller {
+    cfg: Arc<Settings>,
+    op: OperatorSettings,
+    run: Incarnation,
+    now: Now,
+    out: Vec<Effect>,
+    wake: Micros,
+    next_call: u64,
+    calls: HashMap<CallId, Call>,
+    budget: Budget,
+    view: View,
+    reader: reader::Reader,
+    ownership: ownership::Ownership,
+    sessions: BTreeMap<MachineId, sessions::Session>,
+    rounds: rounds::Rounds,
+    users: users::Users,
+    fleet: fleet::Fleet,
+    peers: HashMap<String, (Micros, PeerHint)>,
+    next_sweep: Micros,
+    next_hint: Micros,
+    next_count: Micros,
+    counters: Counters,
+}
+
+impl Controller {
+    /// A controller that has just started. The seed also names this run of the process.
+    pub fn new(cfg: Arc<Settings>, op: OperatorSettings, seed: u64) -> Controller {
+        let share = cfg.controllers() as f64;
+        Controller {
+            run: Incarnation(seed),
+            now: Now::default(),
+            out: Vec::new(),
+            wake: Micros::ZERO,
+            next_call: 1,
+            calls: HashMap::new(),
+            budget: Budget::new(cfg.state_rps / share, cfg.state_write_rps / share),
+            view: View::default(),
+            reader: reader::Reader::default(),
+            ownership: ownership::Ownership::default(),
+            sessions: BTreeMap::new(),
+            rounds: rounds::Rounds::default(),
+            users: users::Users::default(),
+            fleet: fleet::Fleet::default(),
+            peers: HashMap::new(),
+            next_sweep: Micros::ZERO,
+            next_hint: Micros::ZERO,
+            next_count: Micros::ZERO,
+            counters: Counters::default(),
+            cfg,
+            op,
+        }
+    }
+
+    /// Takes an event and returns what is to be done about it.
+    pub fn handle(&mut self, now: Now, event: Event) -> Vec<Effect> {
+        self.now = Now {
+            steady: now.steady.max(self.now.steady),
+            day: now.day,
+        };
+        match event {
+            Event::Tick => {}
+            Event::User(call, request) => self.on_user(call, request),
+            Event::BadSubmission(call, job, why) => self.on_bad_submission(call, job, why),
+            Event::Report(call, report) => {
+                let answer = self.on_report(&report);
+                self.out.push(Effect::Report(call, answer));
+            }
+            Event::State(call, result) => self.on_state(call, result),
+            Event::Cloud(call, result) => self.on_cloud(call, result),
+            Event::Direct(call, result) => {
+                if let Some(Call {
+                    purpose: Purpose::Direct(machine),
+                    ..
+                }) = self.calls.remove(&call)
+                {
+                    self.on_direct(call, machine, result);
+                }
+            }
+            Event::Peer(hint) => self.on_hint(hint),
+        }
+        self.pump();
+        std::mem::take(&mut self.out)
+    }
+
+    /// When the controller next wants a [`Event::Tick`].
+    pub fn wake(&self) -> Micros {
+        self.wake
+    }
+
+    /// Whether the node can take requests.
+    pub fn healthy(&self, now: Now) -> bool {
+        if !self.reader.ready() {
+            return false;
+        }
+        let age = now.steady.since(self.reader.contact());
+        // Own trouble only: while the peers are without contact too, it is the state service's,
+        // and nodes that went unhealthy would come back one pause later than it does.
+        let blind = Micros::secs(4);
+        age < blind
+            || !self.peers.values().any(|(heard, hint)| {
+                let quiet = now.steady.since(*heard);
+                let theirs = hint.contact_ms.map(|ms| Micros::millis(ms) + quiet);
+                quiet < Micros::secs(5) && theirs.is_some_and(|t| t + Micros::secs(2) < age)
+            })
+    }
+
+    /// What it has counted.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// The private copy.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    fn pump(&mut self) {
+        self.wake = Micros::FOREVER;
+        if self.now.steady >= self.next_sweep {
+            self.next_sweep = self.now.steady + Micros::millis(500);
+            self.sweep();
+        }
+        self.wake_at(self.next_sweep);
+        self.pump_ownership();
+        self.pump_users();
+        self.pump_fleet();
+        self.pump_rounds();
+        self.pump_sessions();
+        self.pump_reader();
+        self.pump_hints();
+    }
+
+    fn sweep(&mut self) {
+        self.sweep_sessions();
+        self.sweep_users();
+        if self.now.steady >= self.next_count {
+            self.next_count = self.now.steady + Micros::secs(30);
+            let c = self.counters;
+            tracing::info!(
+                commits = c.commits,
+                clashes = c.clashes,
+                unknown = c.unknown,
+                dropped = c.dropped,
+                booked = c.booked,
+                cleared = c.cleared,
+                "counts so far"
+            );
+        }
+    }
+
+    fn pump_hints(&mut self) {
+        if self.now.steady >= self.next_hint {
+            self.next_hint = self.now.steady + Micros::secs(1);
+            let contact = self.reader.ready().then(|| self.contact_age().as_millis());
+            let terms = (0..self.view.own.len())
+                .map(|k| (self.view.own[k].stamp, self.owns(k)))
+                .collect();
+            self.out.push(Effect::Peers(PeerHint {
+                node: self.cfg.node.clone(),
+                run: self.run,
+                contact_ms: contact,
+                epoch: self.view.epoch,
+                terms,
+            }));
+        }
+        self.wake_at(self.next_hint);
+    }
+
+    fn on_hint(&mut self, hint: PeerHint) {
+        for (k, (term, owns)) in hint.terms.iter().enumerate() {
+            if *owns && self.owns(k) && *term > self.view.own[k].stamp {
+                tracing::info!(slice = k, term, peer = hint.node, "told of a newer term");
+                self.told_newer(k, *term);
+                self.reader.want_barrier();
+            }
+        }
+        self.peers
+            .insert(hint.node.clone(), (self.now.steady, hint));
+    }
+
+    fn wake_at(&mut self, at: Micros) {
+        self.wake = self.wake.min(at);
+    }
+
+    fn call(&mut self, purpose: Purpose) -> CallId {
+        let id = CallId(self.next_call);
+        self.next_call += 1;
+        let sent = self.now.steady;
+        self.calls.insert(id, Call { purpose, sent });
+        id
+    }
+
+    /// Sends a request to the state service. The caller has asked the budget.
+    fn ask_state(&mut self, purpose: Purpose, request: StateRequest) -> CallId {
+        let limit = match &request {
+            StateRequest::Changes { wait, .. } => *wait + Micros::millis(1_500),
+            _ => Micros::millis(1_500),
+        };
+        let id = self.call(purpose);
+        self.out.push(Effect::State(id, request, limit));
+        id
+    }
+
+    fn contact_age(&self) -> Micros {
+        self.now.steady.since(self.reader.contact())
+    }
+
+    fn on_state(&mut self, id: CallId, result: Result<StateReply, CallError>) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        if result.as_ref().is_err_and(|e| *e == CallError::TooMany) {
+            self.budget.refused(self.now.steady);
+        }
+        match call.purpose {
+            Purpose::Watch => self.on_changes(id, call.sent, true, result),
+            Purpose::Barrier => self.on_changes(id, call.sent, false, result),
+            Purpose::Page { first } => self.on_page(first, result),
+            Purpose::Grant => self.on_grant(result),
+            Purpose::Touch => self.on_touched(call.sent, result),
+            Purpose::Node => self.on_node_written(result),
+            Purpose::Meta => self.reader.want_barrier(),
+            Purpose::Claim(slices) => self.on_claimed(&slices, result),
+            Purpose::Submit(batch) => self.on_submitted(batch, result),
+            Purpose::Abort(w) => self.on_aborted(w, result),
+            Purpose::Final(w) => self.on_final(w, result),
+            Purpose::Round(round) => self.on_round(*round, result),
+            Purpose::Types(types) => self.on_types_written(types, result),
+            Purpose::Fleet(record) => self.on_fleet_written(*record, result),
+            Purpose::Cloud(_) | Purpose::Direct(_) => {}
+        }
+    }
+
+    /// Acts on what changes brought.
+    fn on_touched_view(&mut self, touched: &Touched) {
+        for k in &touched.own {
+            self.on_own_changed(*k);
+        }
+        if touched.nodes {
+            self.ownership.look();
+        }
+        for k in &touched.groups {
+            self.on_group_changed(*k);
+        }
+        for j in &touched.jobs {
+            self.on_job_changed(*j);
+        }
+        if touched.usage
+            || !touched.jobs.is_empty()
+            || !touched.groups.is_empty()
+            || !touched.own.is_empty()
+        {
+            self.rounds.look();
+            self.fleet.look();
+        }
+    }
+
+    /// Whether this process owns the slice, as far as it knows.
+    fn owns(&self, k: Slice) -> bool {
+        self.ownership.tenure(k).is_some()
+    }
+}
--- /dev/null
+++ b/src/coordination/ownership.rs
@@ -0,0 +1,390 @@
+//! Leases, liveness, and who owns which slice under which term.
+
+use super::{Controller, Purpose};
+use crate::bookkeeping::ids::Slice;
+use crate::bookkeeping::records::{Key, MetaRecord, NodeRecord, OwnRecord};
+use crate::bookkeeping::time::Micros;
+use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
+use std::collections::BTreeMap;
+
+/// An unbroken ownership of a slice by this process.
+#[derive(Clone, Copy, Debug)]
+pub struct Tenure {
+    /// The first of its terms: a worker that reports this token or a later one can no longer be
+    /// commanded by any earlier owner.
+    pub first: u64,
+    /// When it began.
+    pub since: Micros,
+}
+
+/// What this process owns, and its lease.
+#[derive(Debug, Default)]
+pub struct Ownership {
+    tenures: Vec<Option<Tenure>>,
+    /// A record of this revision or an older one begins no tenure.
+    lost: Vec<u64>,
+    lease: Option<u64>,
+    granting: bool,
+    touching: bool,
+    writing: bool,
+    claiming: bool,
+    next_lease: Micros,
+    next_node: Micros,
+    next_claim: Micros,
+    next_rebalance: Micros,
+    looking: bool,
+    meta_at: Micros,
+    ready_since: Option<Micros>,
+    raise: Vec<Slice>,
+}
+
+impl Ownership {
+    fn size_for(&mut self, k: Slice) {
+        if self.tenures.len() <= k {
+            self.tenures.resize(k + 1, None);
+            self.lost.resize(k + 1, 0);
+        }
+    }
+
+    /// The tenure of a slice, if this process owns it.
+    pub fn tenure(&self, k: Slice) -> Option<Tenure> {
+        self.tenures.get(k).copied().flatten()
+    }
+
+    /// Something changed that may call for a claim.
+    pub fn look(&mut self) {
+        self.looking = true;
+    }
+
+    /// Asks for a new term of a slice that this process owns, once a launch has been without an
+    /// answer for a while: the answer may still come, or the worker's next session.
+    pub fn raise_later(&mut self, k: Slice, unsettled_since: Micros, now: Micros) {
+        if now.since(unsettled_since) > Micros::secs(3) && !self.raise.contains(&k) {
+            self.raise.push(k);
+        }
+    }
+}
+
+impl Controller {
+    fn lease_life(&self) -> Micros {
+        Micros::millis(self.op.node_lease_ms)
+    }
+
+    fn me(&self) -> OwnRecord {
+        OwnRecord {
+            node: self.cfg.node.clone(),
+            run: self.run,
+        }
+    }
+
+    pub(super) fn pump_ownership(&mut self) {
+        self.pump_lease();
+        if !self.reader.ready() {
+            return;
+        }
+        let now = self.now.steady;
+        self.ownership.ready_since.get_or_insert(now);
+        if self.view.meta.value.is_none() {
+            self.pump_meta();
+            return;
+        }
+        self.pump_node();
+        if now >= self.ownership.next_claim && !self.ownership.claiming {
+            self.pump_claims();
+        }
+        self.wake_at(self.ownership.next_claim.max(now + Micros::millis(1)));
+    }
+
+    fn pump_lease(&mut self) {
+        let now = self.now.steady;
+        let o = &mut self.ownership;
+        if o.granting || o.touching {
+            return;
+        }
+        if now < o.next_lease {
+            let at = o.next_lease;
+            self.wake_at(at);
+            return;
+        }
+        self.budget.force(now, 0);
+        match self.ownership.lease {
+            None => {
+                self.ownership.granting = true;
+                let life = self.lease_life();
+                self.ask_state(Purpose::Grant, StateRequest::Grant(life));
+            }
+            Some(id) => {
+                self.ownership.touching = true;
+                self.ask_state(Purpose::Touch, StateRequest::Touch(id));
+            }
+        }
+    }
+
+    pub(super) fn on_grant(&mut self, result: Result<StateReply, CallError>) {
+        self.ownership.granting = false;
+        self.ownership.next_node = self.now.steady;
+        match result {
+            Ok(StateReply::Lease(id)) => {
+                self.ownership.lease = Some(id);
+                self.ownership.next_lease = self.now.steady + Micros(self.lease_life().0 / 3);
+            }
+            _ => self.ownership.next_lease = self.now.steady + Micros::millis(300),
+        }
+    }
+
+    pub(super) fn on_touched(&mut self, sent: Micros, result: Result<StateReply, CallError>) {
+        self.ownership.touching = false;
+        match result {
+            Ok(StateReply::Touched) => {
+                self.ownership.next_lease = sent + Micros(self.lease_life().0 / 3);
+            }
+            Ok(StateReply::NoLease) => {
+                tracing::info!("the node's lease has ended");
+                self.ownership.lease = None;
+                self.ownership.next_lease = self.now.steady;
+            }
+            _ => self.ownership.next_lease = self.now.steady + Micros::millis(300),
+        }
+    }
+
+    fn pump_meta(&mut self) {
+        let now = self.now.steady;
+        if now < self.ownership.meta_at {
+            self.wake_at(self.ownership.meta_at);
+            return;
+        }
+        self.ownership.meta_at = now + Micros::millis(500);
+        let slices = self.op.slices;
+        let teams: BTreeMap<String, Slice> = self
+            .cfg
+            .teams
+            .iter()
+            .filter(|t| t.has_share())
+            .enumerate()
+            .map(|(i, t)| (t.name.clone(), i % slices))
+            .collect();
+        let txn = Txn {
+            when: vec![(Key::Meta, 0)],
+            then: vec![Put {
+                key: Key::Meta,
+                value: encode(&MetaRecord { slices, teams }),
+                permit: None,
+            }],
+        };
+        self.budget.force(now, 1);
+        self.ask_state(Purpose::Meta, StateRequest::Txn(txn));
+    }
+
+    fn alive(&self) -> bool {
+        let mine = self.view.nodes.get(&self.cfg.node);
+        mine.is_some_and(|n| n.value.run == self.run)
+    }
+
+    fn pump_node(&mut self) {
+        let now = self.now.steady;
+        let Some(lease) = self.ownership.lease else {
+            return;
+        };
+        if self.ownership.writing || self.alive() {
+            return;
+        }
+        if now < self.ownership.next_node {
+            self.wake_at(self.ownership.next_node);
+            return;
+        }
+        let key = Key::Node(self.cfg.node.clone());
+        let txn = Txn {
+            when: vec![(key.clone(), self.view.stamp(&key))],
+            then: vec![Put {
+                key,
+                value: encode(&NodeRecord { run: self.run }),
+                permit: Some(lease),
+            }],
+        };
+        self.ownership.writing = true;
+        self.budget.force(now, 1);
+        self.ask_state(Purpose::Node, StateRequest::Txn(txn));
+    }
+
+    pub(super) fn on_node_written(&mut self, result: Result<StateReply, CallError>) {
+        self.ownership.writing = false;
+        self.ownership.next_node = self.now.steady + Micros::millis(400);
+        self.reader.want_barrier();
+        if matches!(result, Ok(StateReply::NoLease)) {
+            self.ownership.lease = None;
+            self.ownership.next_lease = self.now.steady;
+        }
+    }
+
+    fn pump_claims(&mut self) {
+        let now = self.now.steady;
+        self.ownership.next_claim = now + Micros::millis(1_000);
+        if !self.alive() {
+            return;
+        }
+        // At the very first start the others are about to appear as well.
+        let first_start = self.view.own.iter().all(|o| o.value.is_none());
+        let ready = self.ownership.ready_since.unwrap_or(now);
+        if first_start
+            && self.view.nodes.len() < self.cfg.controllers()
+            && now.since(ready) < Micros::secs(2)
+        {
+            self.ownership.next_claim = now + Micros::millis(100);
+            return;
+        }
+        let (mut wanted, why) = self.wanted_slices();
+        wanted.truncate(self.cfg.txn_ops);
+        if wanted.is_empty() {
+            return;
+        }
+        let node = Key::Node(self.cfg.node.clone());
+        let mut txn = Txn {
+            when: vec![(node.clone(), self.view.stamp(&node))],
+            then: Vec::new(),
+        };
+        for k in &wanted {
+            txn.when.push((Key::Own(*k), self.view.own[*k].stamp));
+            txn.then.push(Put {
+                key: Key::Own(*k),
+                value: encode(&self.me()),
+                permit: None,
+            });
+        }
+        tracing::info!(slices = ?wanted, why, "claiming");
+        self.ownership.claiming = true;
+        self.budget.force(now, wanted.len());
+        self.ask_state(Purpose::Claim(wanted), StateRequest::Txn(txn));
+    }
+
+    /// Slices that this process should claim now, and why.
+    fn wanted_slices(&mut self) -> (Vec<Slice>, &'static str) {
+        let now = self.now.steady;
+        let slices = self.view.slices();
+        let epoch = self.view.epoch;
+        let mut raise = std::mem::take(&mut self.ownership.raise);
+        raise.retain(|k| self.owns(*k));
+        if !raise.is_empty() {
+            return (raise, "to settle launches without an answer");
+        }
+        let mut load: BTreeMap<&str, usize> =
+            self.view.nodes.keys().map(|n| (n.as_str(), 0)).collect();
+        let mut orphans = Vec::new();
+        let mut mine_again = Vec::new();
+        for k in 0..slices {
+            match self.view.own[k].value.as_ref().filter(|o| {
+                let node = self.view.nodes.get(&o.node);
+                node.is_some_and(|n| n.value.run == o.run)
+            }) {
+                Some(o) => {
+                    if let Some(n) = load.get_mut(o.node.as_str()) {
+                        *n += 1;
+                    }
+                    let lost = self.ownership.lost.get(k).copied().unwrap_or(0);
+                    if o.node == self.cfg.node && !self.owns(k) && epoch >= lost {
+                        mine_again.push(k);
+                    }
+                }
+                None => orphans.push(k),
+            }
+        }
+        if !mine_again.is_empty() {
+            return (mine_again, "owned, but without an unbroken tenure");
+        }
+        let mut wanted = Vec::new();
+        for k in orphans {
+            let Some(least) = load
+                .iter()
+                .min_by_key(|(name, n)| (**n, **name))
+                .map(|(name, _)| *name)
+            else {
+                break;
+            };
+            if least == self.cfg.node {
+                wanted.push(k);
+            }
+            if let Some(n) = load.get_mut(least) {
+                *n += 1;
+            }
+        }
+        if !wanted.is_empty() {
+            return (wanted, "without a live owner");
+        }
+        let mine = load.get(self.cfg.node.as_str()).copied().unwrap_or(0);
+        let Some((rich, most)) = load.iter().max_by_key(|(name, n)| (**n, **name)) else {
+            return (wanted, "");
+        };
+        if *most >= mine + 2 && now >= self.ownership.next_rebalance {
+            let settled = now.since(self.ownership.ready_since.unwrap_or(now)) > Micros::secs(2);
+            let of_rich = (0..slices).find(|k| {
+                self.view.own[*k]
+                    .value
+                    .as_ref()
+                    .is_some_and(|o| o.node == *rich)
+            });
+            if let Some(k) = of_rich.filter(|_| settled) {
+                self.ownership.next_rebalance = now + Micros::millis(2_500);
+                return (vec![k], "to even out");
+            }
+        }
+        (wanted, "")
+    }
+
+    pub(super) fn on_claimed(&mut self, slices: &[Slice], result: Result<StateReply, CallError>) {
+        self.ownership.claiming = false;
+        // The copy learns of it by reading, so that all changes up to the claim are in it too.
+        self.reader.want_barrier();
+        if !matches!(result, Ok(StateReply::Applied(_))) {
+            tracing::info!(?slices, ?result, "the claim did not succeed");
+        }
+        self.ownership.next_claim = self.now.steady + Micros::millis(200);
+    }
+
+    pub(super) fn on_own_changed(&mut self, k: Slice) {
+        self.ownership.size_for(k);
+        self.ownership.look();
+        let stamp = self.view.own[k].stamp;
+        let mine = self.view.own[k].value.as_ref() == Some(&self.me());
+        let held = self.ownership.tenures[k].is_some();
+        if mine && !held && stamp > self.ownership.lost[k] {
+            tracing::info!(slice = k, term = stamp, "took over");
+            self.ownership.tenures[k] = Some(Tenure {
+                first: stamp,
+                since: self.now.steady,
+            });
+            self.begin_sessions(k);
+            self.rounds.look();
+        } else if mine && held {
+            // Every claim of this process since the tenure began was conditional on its own
+            // record, so nobody else can have owned the slice in between.
+            tracing::info!(slice = k, term = stamp, "raised the term");
+        } else if !mine && held {
+            let owner = self.view.own[k].value.as_ref().map(|o| o.node.as_str());
+            tracing::info!(slice = k, term = stamp, owner, "lost the slice");
+            self.lose_tenure(k);
+        }
+    }
+
+    /// A peer has a newer term of a slice that this process thought its own.
+    pub(super) fn told_newer(&mut self, k: Slice, term: u64) {
+        self.lose_tenure(k);
+        self.ownership.lost[k] = self.ownership.lost[k].max(term.saturating_sub(1));
+        self.ownership.look();
+    }
+
+    fn lose_tenure(&mut self, k: Slice) {
+        self.ownership.size_for(k);
+        self.ownership.tenures[k] = None;
+        self.end_sessions(k);
+        if k == 0 {
+            self.end_fleet();
+        }
+    }
+
+    /// Ends all tenures: what was known of launches without an answer is no longer reliable.
+    pub(super) fn lose_all_tenures(&mut self) {
+        for k in 0..self.ownership.tenures.len() {
+            self.ownership.lost[k] = self.ownership.lost[k].max(self.view.stamp(&Key::Own(k)));
+            self.lose_tenure(k);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/reader.rs
@@ -0,0 +1,222 @@
+//! The watch that keeps the private copy, and read barriers.
+
+use super::{CallId, Controller, Purpose};
+use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::{Change, Touched};
+use crate::protocol::state::{CallError, StateReply, StateRequest};
+
+/// How the copy is kept.
+#[derive(Debug, Default)]
+pub struct Reader {
+    phase: Phase,
+    contact: Micros,
+    watching: bool,
+    next_watch: Micros,
+    barrier: Option<CallId>,
+    wanted: bool,
+    next_barrier: Micros,
+    /// Every changes read up to this call has been answered or outdone by a later one.
+    read: u64,
+    retry: Micros,
+    /// Revision of the newest page: reads that end before it leave the copy inconsistent.
+    whole_at: u64,
+}
+
+#[derive(Debug, Default, PartialEq, Eq)]
+enum Phase {
+    #[default]
+    Empty,
+    Listing,
+    /// Listed; the first changes will make the copy consistent.
+    Listed,
+    Ready,
+}
+
+impl Reader {
+    /// Whether the copy is complete and consistent.
+    pub fn ready(&self) -> bool {
+        self.phase == Phase::Ready
+    }
+
+    /// When the last completed read was sent.
+    pub fn contact(&self) -> Micros {
+        self.contact
+    }
+
+    /// Asks for a read that begins now or later.
+    pub fn want_barrier(&mut self) {
+        self.wanted = true;
+    }
+
+    /// Whether a read that began after this call has completed.
+    pub fn passed(&self, call: u64) -> bool {
+        self.read > call
+    }
+}
+
+impl Controller {
+    /// Shortest time between two reads. The watch would otherwise answer each single change.
+    const WATCH_SPACING: Micros = Micros::millis(90);
+    const BARRIER_SPACING: Micros = Micros::millis(60);
+    /// How long a watch waits. Short enough that contact never looks old in quiet times.
+    const WATCH_WAIT: Micros = Micros::millis(2_000);
+
+    pub(super) fn pump_reader(&mut self) {
+        let now = self.now.steady;
+        match self.reader.phase {
+            Phase::Empty => {
+                if now < self.reader.retry {
+                    self.wake_at(self.reader.retry);
+                    return;
+                }
+                self.view.clear();
+                self.reader.phase = Phase::Listing;
+                self.budget.force(now, 0);
+                self.ask_state(
+                    Purpose::Page { first: None },
+                    StateRequest::List { after: None },
+                );
+            }
+            Phase::Listing => {}
+            Phase::Listed | Phase::Ready => {
+                self.pump_barrier();
+                self.pump_watch();
+            }
+        }
+    }
+
+    fn pump_watch(&mut self) {
+        let now = self.now.steady;
+        if self.reader.watching {
+            return;
+        }
+        if now < self.reader.next_watch {
+            self.wake_at(self.reader.next_watch);
+            return;
+        }
+        if let Err(at) = self.budget.spend(now, 0, 0.1) {
+            self.wake_at(at);
+            return;
+        }
+        let wait = if self.reader.ready() {
+            Self::WATCH_WAIT
+        } else {
+            Micros::ZERO
+        };
+        let after = self.view.epoch;
+        self.reader.watching = true;
+        self.ask_state(Purpose::Watch, StateRequest::Changes { after, wait });
+    }
+
+    fn pump_barrier(&mut self) {
+        let now = self.now.steady;
+        if !self.reader.wanted || self.reader.barrier.is_some() || !self.reader.ready() {
+            return;
+        }
+        if now < self.reader.next_barrier {
+            self.wake_at(self.reader.next_barrier);
+            return;
+        }
+        if let Err(at) = self.budget.spend(now, 0, 0.0) {
+            self.wake_at(at);
+            return;
+        }
+        self.reader.wanted = false;
+        self.reader.next_barrier = now + Self::BARRIER_SPACING;
+        let request = StateRequest::Changes {
+            after: self.view.epoch,
+            wait: Micros::ZERO,
+        };
+        let id = self.ask_state(Purpose::Barrier, request);
+        self.reader.barrier = Some(id);
+    }
+
+    pub(super) fn on_page(&mut self, first: Option<u64>, result: Result<StateReply, CallError>) {
+        let Ok(StateReply::Page { items, next, epoch }) = result else {
+            self.reader.phase = Phase::Empty;
+            self.reader.retry = self.now.steady + Micros::millis(300);
+            return;
+        };
+        let mut touched = Touched::default();
+        self.view.apply(items, &mut touched);
+        let first = first.unwrap_or(epoch);
+        if next.is_some() {
+            self.budget.force(self.now.steady, 0);
+            self.ask_state(
+                Purpose::Page { first: Some(first) },
+                StateRequest::List { after: next },
+            );
+            return;
+        }
+        // Later pages may be newer than the first: only the changes since then make it one whole.
+        self.view.advance(first);
+        self.reader.whole_at = epoch;
+        self.reader.phase = Phase::Listed;
+        self.reader.next_watch = self.now.steady;
+    }
+
+    pub(super) fn on_changes(
+        &mut self,
+        id: CallId,
+        sent: Micros,
+        watch: bool,
+        result: Result<StateReply, CallError>,
+    ) {
+        let now = self.now.steady;
+        if watch {
+            self.reader.watching = false;
+            self.reader.next_watch = now + Self::WATCH_SPACING;
+        } else if self.reader.barrier == Some(id) {
+            self.reader.barrier = None;
+        }
+        match result {
+            Ok(StateReply::Changes(changes, epoch)) => self.take_changes(id, sent, changes, epoch),
+            Ok(StateReply::TooOld) => {
+                tracing::info!(
+                    epoch = self.view.epoch,
+                    "the copy is too old, reading everything anew"
+                );
+                self.lose_all_tenures();
+                self.reader.phase = Phase::Empty;
+            }
+            other => {
+                if watch {
+                    self.reader.next_watch = now + Micros::millis(250);
+                } else {
+                    self.reader.wanted = true;
+                    self.reader.next_barrier = now + Micros::millis(250);
+                    self.users_without_contact();
+                }
+                tracing::debug!(?other, watch, "a read brought nothing");
+            }
+        }
+    }
+
+    fn take_changes(&mut self, id: CallId, sent: Micros, changes: Vec<Change>, epoch: u64) {
+        if matches!(self.reader.phase, Phase::Empty | Phase::Listing) {
+            return;
+        }
+        let mut touched = Touched::default();
+        self.view.apply(changes, &mut touched);
+        self.view.advance(epoch);
+        self.reader.contact = self.reader.contact.max(sent);
+        self.reader.read = self.reader.read.max(id.0);
+        if self.reader.phase == Phase::Listed {
+            if epoch < self.reader.whole_at {
+                return;
+            }
+            self.reader.phase = Phase::Ready;
+            tracing::info!(
+                epoch,
+                jobs = self.view.jobs.len(),
+                machines = self.view.machines().count(),
+                "the copy is complete"
+            );
+            touched.own = (0..self.view.own.len()).collect();
+            touched.nodes = true;
+        }
+        self.on_touched_view(&touched);
+        self.rounds.on_read(epoch, self.reader.read);
+        self.users_after_read();
+    }
+}
--- /dev/null
+++ b/src/coordination/rounds.rs
@@ -0,0 +1,501 @@
+//! Rounds: what was proven and what was planned goes into one transaction at a time, on the
+//! revisions of the records that it changes.
+
+use super::draft::{Commit, Draft, Limits};
+use super::sessions::{Mark, Outcome};
+use super::{Controller, Purpose};
+use crate::bookkeeping::amount::Amount;
+use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice, TaskId};
+use crate::bookkeeping::job::{FinalRecord, JobSpec, Urgency};
+use crate::bookkeeping::placement::{Ask, Claim, Slot, plan};
+use crate::bookkeeping::records::{Fitness, Key};
+use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::{Change, Job, Touched};
+use crate::protocol::settings::ObjectiveKind;
+use crate::protocol::state::{CallError, StateReply, StateRequest};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A round that waits for its answer.
+#[derive(Debug)]
+pub struct InFlight {
+    changes: Vec<Change>,
+    ended: Vec<(JobId, FinalRecord)>,
+    booked: Vec<(Claim, u64)>,
+    cleared: usize,
+}
+
+/// What waits to be committed.
+#[derive(Debug, Default)]
+pub struct Rounds {
+    looking: bool,
+    in_flight: bool,
+    next: Micros,
+    clears: BTreeMap<(MachineId, Attempt), Outcome>,
+    marks: BTreeMap<MachineId, Mark>,
+    adds: BTreeSet<MachineId>,
+    /// Machines that are proven gone, by this process as the fleet's owner.
+    gone: BTreeSet<MachineId>,
+    /// Machines that the fleet wants to return.
+    releasing: BTreeSet<MachineId>,
+    /// No planning before the copy has passed this revision.
+    hold_epoch: u64,
+    /// No planning before a read that began after this call.
+    hold_call: Option<u64>,
+    /// Changes that the next round must have to spend; more when an indivisible set waits.
+    least: std::cell::Cell<usize>,
+    /// When a job's tasks last failed, and how often they had by then.
+    failed: BTreeMap<JobId, (u32, Micros)>,
+}
+
+impl Rounds {
+    /// Something changed that may call for a round.
+    pub fn look(&mut self) {
+        self.looking = true;
+    }
+
+    /// Wants a booking cleared; false if that was wanted already.
+    pub fn clear(&mut self, m: MachineId, a: Attempt, outcome: Outcome) -> bool {
+        self.looking = true;
+        self.clears.insert((m, a), outcome).is_none()
+    }
+
+    /// Wants a machine's record changed.
+    pub fn mark(&mut self, m: MachineId, mark: Mark) {
+        self.looking = true;
+        self.marks.insert(m, mark);
+    }
+
+    /// Wants a machine added to its group.
+    pub fn add(&mut self, m: MachineId) {
+        self.looking = true;
+        self.adds.insert(m);
+    }
+
+    /// Whether a machine is about to be added.
+    pub fn adding(&self, m: MachineId) -> bool {
+        self.adds.contains(&m)
+    }
+
+    /// A machine is proven gone.
+    pub fn gone(&mut self, m: MachineId) {
+        self.looking = true;
+        self.gone.insert(m);
+    }
+
+    /// Wants a machine marked before it is returned.
+    pub fn releasing(&mut self, m: MachineId) {
+        self.looking = true;
+        self.releasing.insert(m);
+    }
+
+    /// Drops what the owner of these machines wanted: it is not this process any more.
+    pub fn drop_machines(&mut self, lost: impl Fn(MachineId) -> bool) {
+        self.clears.retain(|(m, _), _| !lost(*m));
+        self.marks.retain(|m, _| !lost(*m));
+        self.adds.retain(|m| !lost(*m));
+    }
+
+    /// Drops what the fleet's owner wanted.
+    pub fn drop_fleet(&mut self) {
+        self.gone.clear();
+        self.releasing.clear();
+    }
+
+    /// A job's tasks have failed this often.
+    pub fn failures(&mut self, job: JobId, errors: u32, now: Micros) {
+        let known = self.failed.entry(job).or_insert((0, now));
+        if known.0 < errors {
+            *known = (errors, now);
+        }
+    }
+
+    /// A job has ended.
+    pub fn job_gone(&mut self, job: JobId) {
+        self.failed.remove(&job);
+    }
+
+    /// Whether some job waits for a pause to end.
+    pub fn pausing(&self) -> bool {
+        !self.failed.is_empty()
+    }
+
+    /// A read has brought the copy forward.
+    pub fn on_read(&mut self, epoch: u64, read: u64) {
+        if self.hold_epoch <= epoch {
+            self.hold_epoch = 0;
+        }
+        if self.hold_call.is_some_and(|c| read > c) {
+            self.hold_call = None;
+        }
+    }
+
+    fn held(&self) -> bool {
+        self.hold_epoch > 0 || self.hold_call.is_some()
+    }
+}
+
+impl Controller {
+    /// Most claims of one round.
+    const CLAIMS: usize = 96;
+
+    pub(super) fn pump_rounds(&mut self) {
+        let now = self.now.steady;
+        if !self.rounds.looking
+            || self.rounds.in_flight
+            || self.rounds.held()
+            || !self.reader.ready()
+        {
+            return;
+        }
+        if now < self.rounds.next {
+            self.wake_at(self.rounds.next);
+            return;
+        }
+        if self.view.types.value.is_none() || self.view.slices() == 0 {
+            return;
+        }
+        // Enough for a small round, beside what submissions and cancellations may need meanwhile.
+        let least = self.rounds.least.replace(0).max(4);
+        let ops = match self.budget.writes_left(now, 2, least) {
+            Ok(n) => n.min(self.cfg.txn_ops),
+            Err(at) => {
+                self.rounds.least.set(least);
+                self.wake_at(at);
+                return;
+            }
+        };
+        let limits = Limits {
+            ops,
+            conditions: self.cfg.txn_ops * 4,
+            value_bytes: self.cfg.value_bytes,
+        };
+        let Some((commit, booked, cleared)) = self.draft_round(limits) else {
+            self.rounds.looking = false;
+            return;
+        };
+        self.budget.force(now, commit.txn.then.len());
+        self.rounds.next = now + Micros::millis(self.op.round_ms);
+        self.rounds.in_flight = true;
+        let in_flight = InFlight {
+            changes: commit.changes,
+            ended: commit.ended,
+            booked,
+            cleared,
+        };
+        self.ask_state(
+            Purpose::Round(Box::new(in_flight)),
+            StateRequest::Txn(commit.txn),
+        );
+    }
+
+    fn draft_round(&mut self, limits: Limits) -> Option<(Commit, Vec<(Claim, u64)>, usize)> {
+        // What the copy shows as carried out already is not wanted any more.
+        let view = &self.view;
+        let has = |m: MachineId, a: &Attempt| {
+            view.place(a.task)
+                .is_some_and(|p| p.machine == m && p.number == a.number)
+        };
+        self.rounds.clears.retain(|(m, a), _| has(*m, a));
+        self.rounds.marks.retain(|m, mark| {
+            view.machine(*m).is_some_and(|r| {
+                r.fitness != Fitness::Releasing && (r.fitness, r.dead) != (mark.fitness, mark.dead)
+            })
+        });
+        self.rounds.adds.retain(|m| view.machine(*m).is_none());
+        self.rounds.gone.retain(|m| view.machine(*m).is_some());
+        self.rounds.releasing.retain(|m| {
+            view.machine(*m).is_some_and(|r| {
+                r.fitness == Fitness::Lost || r.fitness != Fitness::Releasing && r.tasks.is_empty()
+            })
+        });
+
+        let mut draft = Draft::new(view, limits);
+        let mut cleared = 0;
+        for m in &self.rounds.gone {
+            let k = view.machine_slice(*m);
+            let Some(r) = view.machine(*m) else { continue };
+            let mut all = true;
+            for b in &r.tasks {
+                all &= draft.clear(k, *m, b.attempt(), Outcome::Again, 0);
+                cleared += 1;
+            }
+            if all {
+                draft.remove(k, *m);
+            }
+        }
+        for ((m, a), outcome) in &self.rounds.clears {
+            let k = view.machine_slice(*m);
+            if draft.clear(k, *m, *a, *outcome, k) {
+                cleared += 1;
+            }
+        }
+        for (m, mark) in &self.rounds.marks {
+            let k = view.machine_slice(*m);
+            draft.mark(k, *m, *mark, k);
+        }
+        for m in &self.rounds.adds {
+            let k = view.machine_slice(*m);
+            if let Some(s) = self.sessions.get(m) {
+                draft.add(k, *m, s.record());
+            }
+        }
+        for m in &self.rounds.releasing {
+            let mark = Mark {
+                fitness: Fitness::Releasing,
+                dead: 0,
+            };
+            draft.mark(view.machine_slice(*m), *m, mark, 0);
+        }
+        let ended: Vec<JobId> = view
+            .jobs
+            .iter()
+            .filter(|(id, j)| {
+                j.record.cancelled
+                    && view.booked(**id).is_none()
+                    && self.owns(view.job_slice(**id, j.spec()))
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            draft.end_cancelled(id);
+        }
+        let booked = self.book(&mut draft);
+        (!draft.is_empty()).then(|| (draft.commit(), booked, cleared))
+    }
+
+    /// Plans on the copy as the draft would leave it, and books what the draft can take.
+    fn book(&self, draft: &mut Draft<'_>) -> Vec<(Claim, u64)> {
+        let jobs = self.jobs_in_order();
+        if jobs.is_empty() {
+            return Vec::new();
+        }
+        let mut asks: Vec<Ask<'_>> = Vec::new();
+        let mut wanted = 0;
+        let mut left: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+        for (id, job) in jobs {
+            if wanted >= Self::CLAIMS {
+                break;
+            }
+            let spec = job.spec();
+            let k = self.view.job_slice(id, spec);
+            let team = self.cfg.team(&spec.crew);
+            let used = *left
+                .entry(&spec.crew)
+                .or_insert_with(|| draft.used(k, &spec.crew));
+            let limit = |most: Option<u64>, used: u64, need: u64| match most {
+                Some(most) if need > 0 => most.saturating_sub(used) / need,
+                _ => u64::MAX,
+            };
+            let most = limit(team.and_then(|t| t.cores_limit), used.0, spec.need.cores).min(limit(
+                team.and_then(|t| t.accelerators_limit),
+                used.1,
+                spec.need.accelerators,
+            ));
+            if most == 0 {
+                continue;
+            }
+            let whole = spec.standing
+                && self.view.booked(id).is_none()
+                && (spec.pieces as usize) <= Self::CLAIMS;
+            let cap = (Self::CLAIMS - wanted).max(if whole { spec.pieces as usize } else { 0 });
+            let tasks: Vec<u32> = self.view.pending(id, job).take(cap).collect();
+            wanted += tasks.len();
+            let n = (tasks.len() as u64).min(most);
+            if let Some(u) = left.get_mut(spec.crew.as_str()) {
+                u.0 += n * spec.need.cores;
+                u.1 += n * spec.need.accelerators;
+            }
+            asks.push(Ask {
+                job: id,
+                spec,
+                tasks,
+                zones: self.zones_of(id),
+                most,
+                whole,
+                avoid: &job.record.avoid,
+            });
+        }
+        let view = &self.view;
+        let mut slots: Vec<Slot<'_>> = Vec::new();
+        // The draft's machines borrow from the draft, which the bookings then change: so by copy.
+        let machines: Vec<(Slice, MachineId, Amount)> = draft
+            .machines()
+            .filter(|(_, _, r)| r.fitness == Fitness::Up)
+            .map(|(k, m, r)| (k, m, view.free(r)))
+            .collect();
+        for (k, m, free) in machines {
+            // A machine that the draft adds is planned on in the next round.
+            let Some(r) = view.groups[k].value.machines.get(&m) else {
+                continue;
+            };
+            slots.push(Slot {
+                slice: k,
+                machine: m,
+                build: &r.build,
+                yard: &r.yard,
+                spot: r.spot,
+                free,
+                images: r.images.iter().map(|(n, _)| n.as_str()).collect(),
+            });
+        }
+        let claims = plan(&mut slots, &mut asks, Self::CLAIMS);
+        let whole: BTreeSet<JobId> = asks.iter().filter(|a| a.whole).map(|a| a.job).collect();
+        let number = self.view.latest;
+        let mut booked = Vec::new();
+        for of_job in claims.chunk_by(|a, b| a.job == b.job) {
+            let set: Vec<(Slice, MachineId, Attempt)> = of_job
+                .iter()
+                .map(|c| {
+                    let task = TaskId {
+                        job: c.job,
+                        index: c.index,
+                    };
+                    (c.slice, c.machine, Attempt { task, number })
+                })
+                .collect();
+            if whole.contains(&of_job[0].job) {
+                if draft.book_all(&set) {
+                    booked.extend(of_job.iter().map(|c| (*c, number)));
+                } else {
+                    // It waits for a round that has the room for all of it.
+                    self.rounds.least.set(self.cfg.txn_ops);
+                }
+                continue;
+            }
+            for (c, (k, m, a)) in of_job.iter().zip(set) {
+                if draft.book(k, m, a) {
+                    booked.push((*c, number));
+                }
+            }
+        }
+        booked
+    }
+
+    fn zones_of(&self, id: JobId) -> BTreeMap<&str, u32> {
+        let mut zones = BTreeMap::new();
+        for p in self.view.booked(id).into_iter().flat_map(|b| b.values()) {
+            if let Some(r) = self.view.machine(p.machine) {
+                *zones.entry(r.yard.as_str()).or_default() += 1;
+            }
+        }
+        zones
+    }
+
+    /// This controller's jobs with tasks to place, the most pressing first.
+    fn jobs_in_order(&self) -> Vec<(JobId, &Job)> {
+        let mut jobs: Vec<((bool, Urgency, Micros, Micros), JobId, &Job)> = Vec::new();
+        for (id, job) in &self.view.jobs {
+            if job.record.cancelled || self.view.pending_count(*id, job) == 0 {
+                continue;
+            }
+            let k = self.view.job_slice(*id, job.spec());
+            if !self.owns(k) || self.backing_off(*id, job) {
+                continue;
+            }
+            let spec = job.spec();
+            let borrows = self.cfg.team(&spec.crew).is_some_and(|t| {
+                let used = self.view.usage[k].value.of(&spec.crew);
+                t.has_share()
+                    && (used.0 + spec.need.cores > t.guarantee.0
+                        || spec.need.accelerators > 0
+                            && used.1 + spec.need.accelerators > t.guarantee.1)
+            });
+            let key = (
+                borrows,
+                spec.urgency,
+                self.latest_start(job),
+                job.record.submitted,
+            );
+            jobs.push((key, *id, job));
+        }
+        jobs.sort_by(|a, b| (&a.0, a.1).cmp(&(&b.0, b.1)));
+        jobs.into_iter().map(|(_, id, j)| (id, j)).collect()
+    }
+
+    /// The time of day by which a job's tasks should start to end as they should.
+    pub(super) fn latest_start(&self, job: &Job) -> Micros {
+        let spec = job.spec();
+        let due = spec.due.or_else(|| self.finish_aim(spec));
+        match due {
+            Some(d) => (job.record.submitted + d) - spec.guess,
+            None => Micros::FOREVER,
+        }
+    }
+
+    /// Within what time the objectives want jobs like this one done.
+    fn finish_aim(&self, spec: &JobSpec) -> Option<Micros> {
+        let of_class = |class: &Option<String>| class.as_ref().is_none_or(|c| *c == spec.lane);
+        self.cfg
+            .objectives
+            .iter()
+            .filter(|o| of_class(&o.class))
+            .find_map(|o| match o.kind {
+                ObjectiveKind::Finished(t) => Some(t),
+                _ => None,
+            })
+    }
+
+    /// A job that fails wherever it runs is retried ever more slowly.
+    fn backing_off(&self, id: JobId, job: &Job) -> bool {
+        let failures = job.record.errors.saturating_sub(job.record.done());
+        if failures < 4 {
+            return false;
+        }
+        let pause = Micros::secs(1 << (failures - 3).min(6));
+        self.rounds
+            .failed
+            .get(&id)
+            .is_some_and(|(_, at)| self.now.steady.since(*at) < pause)
+    }
+
+    pub(super) fn on_round(&mut self, round: InFlight, result: Result<StateReply, CallError>) {
+        let now = self.now.steady;
+        self.rounds.in_flight = false;
+        self.rounds.looking = true;
+        match result {
+            Ok(StateReply::Applied(epoch)) => {
+                self.counters.commits += 1;
+                self.counters.booked += round.booked.len() as u64;
+                self.counters.cleared += round.cleared as u64;
+                for (c, number) in &round.booked {
+                    let k = self
+                        .view
+                        .jobs
+                        .get(&c.job)
+                        .map(|j| self.view.job_slice(c.job, j.spec()));
+                    let term = k.map_or(0, |k| self.view.stamp(&Key::Own(k)));
+                    tracing::info!(task = %TaskId { job: c.job, index: c.index }, attempt = number,
+                        machine = %c.machine, term, "booked");
+                }
+                let changes = round.changes.into_iter().map(|mut c| {
+                    c.stamp = epoch;
+                    c
+                });
+                let mut touched = Touched::default();
+                self.view.apply(changes, &mut touched);
+                for (id, f) in round.ended {
+                    let how = if f.cancelled { "cancelled" } else { "done" };
+                    tracing::info!(job = %id, done = f.done, how, "ended");
+                    self.users.remember(id, f);
+                }
+                self.on_touched_view(&touched);
+            }
+            Ok(StateReply::Clash(keys, epoch)) => {
+                self.counters.clashes += 1;
+                self.counters.dropped += round.booked.len() as u64;
+                tracing::debug!(?keys, claims = round.booked.len(), "the round clashed");
+                self.rounds.hold_epoch = epoch;
+                self.reader.want_barrier();
+            }
+            Err(CallError::Unavailable | CallError::TooMany) => {
+                self.rounds.next = now + Micros::millis(250)
+            }
+            _ => {
+                self.counters.unknown += 1;
+                tracing::info!(claims = round.booked.len(), "the round had no answer");
+                self.rounds.hold_call = Some(self.next_call);
+                self.reader.want_barrier();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/sessions.rs
@@ -0,0 +1,584 @@
+//! Workers: their sessions, what they are told, and when a booking may be cleared.
+//!
+//! A booking is cleared only on proof that its attempt is not on the machine and cannot get there:
+//! see `docs/design.md`, "When a booking may be cleared".
+
+use super::{CallId, Controller, Effect, Purpose};
+use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice};
+use crate::bookkeeping::records::{Booking, Fitness, MachineRecord};
+use crate::bookkeeping::time::Micros;
+use crate::protocol::worker::{Ended, Order, Report, ReportAnswer, TaskState, direct_body};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A direct command that was sent and has not been answered yet.
+#[derive(Debug)]
+struct Direct {
+    call: CallId,
+    baton: u64,
+    session: u64,
+    launches: Vec<Attempt>,
+}
+
+/// What this process knows of a machine during its tenure of the machine's slice.
+#[derive(Debug)]
+pub struct Session {
+    endpoint: String,
+    build: String,
+    yard: String,
+    spot: bool,
+    order: (u64, u64),
+    /// The worker reported a token of this tenure: no earlier owner commands it any more.
+    heard: bool,
+    /// When the last report that was answered 200 came in.
+    answered: Option<Micros>,
+    seen: Vec<(Attempt, TaskState)>,
+    launched: BTreeSet<Attempt>,
+    started: BTreeMap<Attempt, Micros>,
+    /// Attempts that are being cleared as absent and must never be launched again.
+    condemned: BTreeSet<Attempt>,
+    /// Sessions up to this one are never answered 200 again.
+    refused: u64,
+    recall_at: Option<Micros>,
+    direct: Option<Direct>,
+    /// Direct launches without an answer: attempt, token, session.
+    unsettled: Vec<(Attempt, u64, u64)>,
+    unsettled_since: Micros,
+    wants_direct: bool,
+    failed_jobs: BTreeSet<JobId>,
+    faulty: bool,
+}
+
+impl Session {
+    fn new(endpoint: &str, build: &str, yard: &str, spot: bool) -> Session {
+        Session {
+            endpoint: endpoint.to_owned(),
+            build: build.to_owned(),
+            yard: yard.to_owned(),
+            spot,
+            order: (0, 0),
+            heard: false,
+            answered: None,
+            seen: Vec::new(),
+            launched: BTreeSet::new(),
+            started: BTreeMap::new(),
+            condemned: BTreeSet::new(),
+            refused: 0,
+            recall_at: None,
+            direct: None,
+            unsettled: Vec::new(),
+            unsettled_since: Micros::ZERO,
+            wants_direct: false,
+            failed_jobs: BTreeSet::new(),
+            faulty: false,
+        }
+    }
+
+    /// Whether no launch of the attempt can still be on its way by a direct command.
+    fn settled(&self, a: &Attempt) -> bool {
+        !self.unsettled.iter().any(|(u, _, _)| u == a)
+            && self.direct.as_ref().is_none_or(|d| !d.launches.contains(a))
+    }
+
+    fn sees(&self, a: &Attempt) -> Option<TaskState> {
+        self.seen.iter().find(|(s, _)| s == a).map(|(_, t)| *t)
+    }
+
+    /// The record of a machine that is heard for the first time.
+    pub fn record(&self) -> MachineRecord {
+        MachineRecord {
+            build: self.build.clone(),
+            yard: self.yard.clone(),
+            spot: self.spot,
+            endpoint: self.endpoint.clone(),
+            fitness: Fitness::Up,
+            dead: self.refused,
+            images: Vec::new(),
+            tasks: Vec::new(),
+        }
+    }
+}
+
+/// Why a booking is cleared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Completed.
+    Done,
+    /// Failed on its machine.
+    Failed,
+    /// Not on the machine, and not coming: planned again.
+    Again,
+}
+
+/// What is to become of a machine's record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mark {
+    /// Its new fitness.
+    pub fitness: Fitness,
+    /// Sessions up to this one are over.
+    pub dead: u64,
+}
+
+impl Controller {
+    /// Added to the lease before silence counts as proof, beside the drift.
+    const SILENCE_MARGIN: Micros = Micros::millis(400);
+    const DIRECT_LIMIT: Micros = Micros::millis(2_500);
+
+    pub(super) fn begin_sessions(&mut self, k: Slice) {
+        self.end_sessions(k);
+        let machines: Vec<(MachineId, Session)> = self.view.groups[k]
+            .value
+            .machines
+            .iter()
+            .map(|(m, r)| {
+                let mut s = Session::new(&r.endpoint, &r.build, &r.yard, r.spot);
+                s.refused = r.dead;
+                (*m, s)
+            })
+            .collect();
+        self.sessions.extend(machines);
+    }
+
+    pub(super) fn end_sessions(&mut self, k: Slice) {
+        let view = &self.view;
+        self.sessions.retain(|m, _| view.machine_slice(*m) != k);
+        let view = &self.view;
+        self.rounds.drop_machines(|m| view.machine_slice(m) == k);
+    }
+
+    /// How old contact with the state service may be while workers are still answered: every task
+    /// of a job whose cancellation could not be seen is then gone in time.
+    fn contact_limit(&self) -> Micros {
+        self.cfg.cancel - self.cfg.lease.with_drift() - Micros::millis(1_500)
+    }
+
+    pub(super) fn on_report(&mut self, report: &Report) -> ReportAnswer {
+        if !self.reader.ready() || self.view.slices() == 0 {
+            return ReportAnswer::Unavailable;
+        }
+        let k = self.view.machine_slice(report.machine);
+        if !self.owns(k) {
+            let owner = self.view.own[k].value.as_ref().filter(|o| {
+                o.node != self.cfg.node
+                    && self
+                        .view
+                        .nodes
+                        .get(&o.node)
+                        .is_some_and(|n| n.value.run == o.run)
+            });
+            return match owner {
+                Some(o) => ReportAnswer::Elsewhere(Some(o.node.clone())),
+                None => ReportAnswer::Unavailable,
+            };
+        }
+        if self.contact_age() > self.contact_limit() {
+            return ReportAnswer::Unavailable;
+        }
+        let baton = self.view.own[k].stamp;
+        if report.baton > baton {
+            tracing::info!(machine = %report.machine, theirs = report.baton, ours = baton, "a worker has a newer token");
+            self.reader.want_barrier();
+            return ReportAnswer::Unavailable;
+        }
+        let dead = self.view.machine(report.machine).map_or(0, |r| r.dead);
+        let session = self.sessions.entry(report.machine).or_insert_with(|| {
+            tracing::info!(machine = %report.machine, build = report.build, spot = report.spot, "heard for the first time");
+            Session::new(&report.endpoint, &report.build, &report.yard, report.spot)
+        });
+        session.refused = session.refused.max(dead);
+        if report.session() <= session.refused {
+            return ReportAnswer::Unavailable;
+        }
+        session.answered = Some(self.now.steady);
+        if report.order <= session.order {
+            return ReportAnswer::Orders {
+                baton,
+                orders: Vec::new(),
+            };
+        }
+        self.take_report(k, report);
+        let orders = self.orders(k, report.machine, true);
+        ReportAnswer::Orders { baton, orders }
+    }
+
+    /// Takes a newer report of a machine, by whichever way it came.
+    fn take_report(&mut self, k: Slice, report: &Report) {
+        let now = self.now.steady;
+        let Some(tenure) = self.ownership.tenure(k) else {
+            return;
+        };
+        let Some(s) = self.sessions.get_mut(&report.machine) else {
+            return;
+        };
+        if report.session() != s.order.0 {
+            s.launched.clear();
+            s.started.clear();
+            if s.order.0 != 0 {
+                tracing::info!(machine = %report.machine, session = report.session(), "a new session");
+            }
+        }
+        s.order = report.order;
+        s.heard |= report.baton >= tenure.first;
+        s.seen.clone_from(&report.tasks);
+        s.unsettled
+            .retain(|(_, baton, session)| report.baton <= *baton && report.session() <= *session);
+        for (a, state) in &report.tasks {
+            if *state == TaskState::Running {
+                s.started.entry(*a).or_insert(now);
+            }
+        }
+        if s.started.len() > report.tasks.len() {
+            s.started
+                .retain(|a, _| report.tasks.iter().any(|(t, _)| t == a));
+        }
+        let recall_at = report.recall.map(|r| now + r);
+        if recall_at.is_some() && s.recall_at.is_none() {
+            tracing::info!(machine = %report.machine, "the cloud will take it back");
+        }
+        s.recall_at = recall_at;
+        match self.view.machine(report.machine) {
+            None => self.rounds.add(report.machine),
+            Some(r) => {
+                let wanted = if r.fitness == Fitness::Releasing {
+                    Fitness::Releasing
+                } else if recall_at.is_some() || s.faulty {
+                    Fitness::Draining
+                } else {
+                    Fitness::Up
+                };
+                if wanted != r.fitness {
+                    self.rounds.mark(
+                        report.machine,
+                        Mark {
+                            fitness: wanted,
+                            dead: r.dead,
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    /// What the worker must be told, by its newest report and the copy. What the report proves is
+    /// handed to the next round. `direct`: not in answer to a report, so that an earlier answer
+    /// may still be on its way.
+    fn orders(&mut self, k: Slice, machine: MachineId, in_answer: bool) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let now = self.now.steady;
+        let Some(s) = self.sessions.get_mut(&machine) else {
+            return orders;
+        };
+        let record = self.view.groups[k].value.machines.get(&machine);
+        let booked = record.map_or(&[][..], |r| &r.tasks);
+        let fitness = record.map_or(Fitness::Up, |r| r.fitness);
+        for (a, state) in &s.seen {
+            let is_booked = booked.contains(&Booking::of(*a));
+            match (is_booked, state) {
+                (true, TaskState::Exited(ended)) => {
+                    // A report of an earlier term proves nothing about who commands the worker.
+                    if !s.heard {
+                        continue;
+                    }
+                    let outcome = match ended {
+                        Ended::Done => Outcome::Done,
+                        Ended::Error => Outcome::Failed,
+                        _ => Outcome::Again,
+                    };
+                    if self.rounds.clear(machine, *a, outcome) {
+                        tracing::info!(task = %a, machine = %machine, ?ended, "exited");
+                        match outcome {
+                            Outcome::Failed => {
+                                s.failed_jobs.insert(a.task.job);
+                                // One job that fails may be to blame itself; two point at the machine.
+                                if s.failed_jobs.len() >= 2 && !s.faulty {
+                                    tracing::info!(machine = %machine, "faulty, will be left");
+                                    s.faulty = true;
+                                }
+                            }
+                            Outcome::Done => s.failed_jobs.clear(),
+                            Outcome::Again => {}
+                        }
+                    }
+                }
+                (true, state) => {
+                    let job = self.view.jobs.get(&a.task.job);
+                    if job.is_none_or(|j| j.record.cancelled) {
+                        orders.push(Order::Stop(*a, Micros::ZERO));
+                    } else if let (Some(at), Some(job), TaskState::Running) =
+                        (s.recall_at, job, state)
+                    {
+                        let spec = job.spec();
+                        let left = at.since(now);
+                        let ran = s.started.get(a).map_or(Micros::ZERO, |t| now.since(*t));
+                        let saves = spec.bookmark > Micros::ZERO;
+                        if saves && left < spec.stash + self.cfg.report * 2 {
+                            orders.push(Order::Stop(*a, spec.stash.with_drift()));
+                        } else if !saves && spec.guess.since(ran) > left * 2 {
+                            orders.push(Order::Stop(*a, Micros::ZERO));
+                        }
+                    }
+                }
+                // Cleared, so the outcome is kept. Forgotten only when no launch of it can come
+                // any more: it would run again.
+                (false, TaskState::Exited(_)) => {
+                    if s.heard && s.settled(a) {
+                        orders.push(Order::Forget(*a));
+                    } else if s.heard && !s.unsettled.is_empty() {
+                        self.ownership.raise_later(k, s.unsettled_since, now);
+                    }
+                }
+                (false, _) => orders.push(Order::Stop(*a, Micros::ZERO)),
+            }
+        }
+        for b in booked {
+            let a = b.attempt();
+            if s.sees(&a).is_some() || s.condemned.contains(&a) {
+                continue;
+            }
+            let job = self.view.jobs.get(&a.task.job);
+            let unwanted = job.is_none_or(|j| j.record.cancelled)
+                || fitness != Fitness::Up
+                || s.recall_at.is_some();
+            if !unwanted {
+                s.launched.insert(a);
+                if in_answer {
+                    orders.push(Order::Launch(a));
+                } else {
+                    s.wants_direct = true;
+                    s.launched.remove(&a);
+                }
+            } else if in_answer && s.heard {
+                // Any earlier launch answered an earlier report, and that answer has been taken or
+                // given up by now; only a direct one can still come.
+                if s.settled(&a) {
+                    s.condemned.insert(a);
+                    self.rounds.clear(machine, a, Outcome::Again);
+                } else {
+                    self.ownership.raise_later(k, s.unsettled_since, now);
+                }
+            }
+        }
+        orders
+    }
+
+    pub(super) fn on_group_changed(&mut self, k: Slice) {
+        if !self.owns(k) {
+            return;
+        }
+        let group = &self.view.groups[k].value;
+        for (m, r) in &group.machines {
+            let Some(s) = self.sessions.get_mut(m) else {
+                continue;
+            };
+            if r.tasks.iter().any(|b| !s.launched.contains(&b.attempt())) {
+                s.wants_direct = true;
+            }
+            s.condemned.retain(|a| r.tasks.contains(&Booking::of(*a)));
+            s.launched.retain(|a| r.tasks.contains(&Booking::of(*a)));
+        }
+        let gone: Vec<MachineId> = self
+            .sessions
+            .keys()
+            .filter(|m| self.view.machine_slice(**m) == k && !group.machines.contains_key(m))
+            .copied()
+            .collect();
+        for m in gone {
+            // Removed by the fleet, or not added yet.
+            if self.rounds.adding(m) {
+                continue;
+            }
+            self.sessions.remove(&m);
+        }
+    }
+
+    pub(super) fn on_job_changed(&mut self, job: JobId) {
+        match self.view.jobs.get(&job) {
+            None => return self.rounds.job_gone(job),
+            Some(j) => {
+                if j.record.errors > 0 {
+                    self.rounds.failures(job, j.record.errors, self.now.steady);
+                }
+                if !j.record.cancelled {
+                    return;
+                }
+            }
+        }
+        let machines: Vec<MachineId> = self
+            .view
+            .booked(job)
+            .into_iter()
+            .flat_map(|tasks| tasks.values().map(|p| p.machine))
+            .collect();
+        for m in machines {
+            if let Some(s) = self.sessions.get_mut(&m) {
+                s.wants_direct = true;
+            }
+        }
+    }
+
+    pub(super) fn pump_sessions(&mut self) {
+        let now = self.now.steady;
+        let ready: Vec<MachineId> = self
+            .sessions
+            .iter()
+            .filter(|(_, s)| s.wants_direct && s.direct.is_none())
+            .map(|(m, _)| *m)
+            .collect();
+        for m in ready {
+            let k = self.view.machine_slice(m);
+            let contact = self.contact_age();
+            let Some(s) = self.sessions.get_mut(&m) else {
+                continue;
+            };
+            s.wants_direct = false;
+            // A worker that was not heard lately is told by the answer to its next report.
+            let lately = self.cfg.report * 2 + Micros::millis(500);
+            let heard = s.answered.is_some_and(|t| now.since(t) < lately);
+            if !heard || s.order.0 <= s.refused || contact > Micros::secs(4) {
+                continue;
+            }
+            let Some(record) = self.view.groups[k].value.machines.get(&m) else {
+                continue;
+            };
+            let mut orders = Vec::new();
+            let mut launches = Vec::new();
+            for b in &record.tasks {
+                let a = b.attempt();
+                let job = self.view.jobs.get(&a.task.job);
+                let cancelled = job.is_none_or(|j| j.record.cancelled);
+                let seen = s.sees(&a);
+                if cancelled && seen.is_some_and(|t| !matches!(t, TaskState::Exited(_))) {
+                    orders.push(Order::Stop(a, Micros::ZERO));
+                } else if !cancelled
+                    && seen.is_none()
+                    && record.fitness == Fitness::Up
+                    && s.recall_at.is_none()
+                    && !s.condemned.contains(&a)
+                    && s.launched.insert(a)
+                {
+                    orders.push(Order::Launch(a));
+                    launches.push(a);
+                }
+            }
+            if orders.is_empty() {
+                continue;
+            }
+            let baton = self.view.own[k].stamp;
+            let session = s.order.0;
+            let body = direct_body(baton, session, &orders);
+            let endpoint = s.endpoint.clone();
+            let call = self.call(Purpose::Direct(m));
+            if let Some(s) = self.sessions.get_mut(&m) {
+                s.direct = Some(Direct {
+                    call,
+                    baton,
+                    session,
+                    launches,
+                });
+            }
+            self.out.push(Effect::Direct {
+                call,
+                endpoint,
+                body,
+                limit: Self::DIRECT_LIMIT,
+            });
+        }
+    }
+
+    pub(super) fn on_direct(
+        &mut self,
+        call: CallId,
+        machine: MachineId,
+        result: Option<(bool, Report)>,
+    ) {
+        let now = self.now.steady;
+        let k = self.view.machine_slice(machine);
+        let Some(s) = self.sessions.get_mut(&machine) else {
+            return;
+        };
+        // A session that began anew since then has forgotten the call, and is a new tenure.
+        let Some(direct) = s.direct.take_if(|d| d.call == call) else {
+            return;
+        };
+        let Some((executed, report)) = result else {
+            // It may be held somewhere and carried out much later.
+            if s.unsettled.is_empty() {
+                s.unsettled_since = now;
+            }
+            for a in direct.launches {
+                s.launched.remove(&a);
+                s.unsettled.push((a, direct.baton, direct.session));
+            }
+            return;
+        };
+        if !executed {
+            for a in &direct.launches {
+                s.launched.remove(a);
+            }
+        }
+        if report.machine == machine && report.order > s.order && report.session() > s.refused {
+            self.take_report(k, &report);
+            self.orders(k, machine, false);
+        }
+    }
+
+    pub(super) fn sweep_sessions(&mut self) {
+        let now = self.now.steady;
+        if self.rounds.pausing() {
+            self.rounds.look();
+        }
+        let silence = self.cfg.lease.with_drift() + Self::SILENCE_MARGIN;
+        let suspicious = self.cfg.report * 3 + Micros::millis(1_500);
+        let machines: Vec<MachineId> = self.sessions.keys().copied().collect();
+        for m in machines {
+            let k = self.view.machine_slice(m);
+            let Some(tenure) = self.ownership.tenure(k) else {
+                continue;
+            };
+            let Some(record) = self.view.machine(m) else {
+                continue;
+            };
+            let (fitness, dead) = (record.fitness, record.dead);
+            let booked: Vec<Attempt> = record.tasks.iter().map(|b| b.attempt()).collect();
+            let Some(s) = self.sessions.get_mut(&m) else {
+                continue;
+            };
+            let quiet = now.since(s.answered.unwrap_or(tenure.since));
+            if s.heard && s.answered.is_some() && quiet > silence {
+                // Decided: the session is never answered again, whatever comes of the commit.
+                if s.refused < s.order.0 {
+                    tracing::info!(machine = %m, session = s.order.0, quiet = %quiet, "silent, its session is over");
+                    s.refused = s.order.0;
+                }
+                if dead < s.refused {
+                    let fitness = fitness.max(Fitness::Lost);
+                    self.rounds.mark(
+                        m,
+                        Mark {
+                            fitness,
+                            dead: s.refused,
+                        },
+                    );
+                }
+                for a in booked {
+                    self.rounds.clear(m, a, Outcome::Again);
+                }
+            } else {
+                let limit = if s.answered.is_some() {
+                    suspicious
+                } else {
+                    silence + suspicious
+                };
+                if quiet > limit && fitness < Fitness::Lost {
+                    tracing::info!(machine = %m, quiet = %quiet, "silent, takes no more work");
+                    self.rounds.mark(
+                        m,
+                        Mark {
+                            fitness: Fitness::Lost,
+                            dead,
+                        },
+                    );
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/users.rs
@@ -0,0 +1,477 @@
+//! Users: submissions, queries and cancellations.
+//!
+//! What is not final is answered only after a read that began after the request came: another
+//! node may have told this user something newer than this copy knows.
+
+use super::{CallId, Controller, Effect, Purpose};
+use crate::bookkeeping::ids::JobId;
+use crate::bookkeeping::job::{FinalRecord, JobRecord, JobSpec};
+use crate::bookkeeping::records::Key;
+use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::{Change, Content, Touched};
+use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
+use crate::protocol::user::{JobAnswer, JobStatus, UserAnswer, UserRequest};
+use std::collections::{HashMap, VecDeque};
+
+#[derive(Clone, Debug)]
+enum Wish {
+    Submit(Box<JobSpec>),
+    /// A submission that would be refused with this answer, unless its job is known already.
+    Refuse(UserAnswer),
+    Query,
+    Abort,
+}
+
+/// A request on its way to an answer.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    call: CallId,
+    id: JobId,
+    wish: Wish,
+    since: Micros,
+    /// Time of day when the request came.
+    day: Micros,
+    /// A read that began after this call must have completed.
+    after: u64,
+    tries: u32,
+}
+
+/// Requests that wait, and ends of jobs that were seen lately.
+#[derive(Debug, Default)]
+pub struct Users {
+    submits: Vec<Waiting>,
+    aborts: Vec<Waiting>,
+    reads: Vec<Waiting>,
+    finals: Vec<Waiting>,
+    ended: HashMap<JobId, FinalRecord>,
+    ended_order: VecDeque<JobId>,
+}
+
+impl Users {
+    const REMEMBERED: usize = 4_096;
+    const WAITING: usize = 512;
+
+    /// Remembers how a job ended.
+    pub fn remember(&mut self, id: JobId, f: FinalRecord) {
+        if self.ended.insert(id, f).is_none() {
+            self.ended_order.push_back(id);
+            if self.ended_order.len() > Self::REMEMBERED {
+                if let Some(old) = self.ended_order.pop_front() {
+                    self.ended.remove(&old);
+                }
+            }
+        }
+    }
+
+    fn waiting(&self) -> usize {
+        self.submits.len() + self.aborts.len() + self.reads.len() + self.finals.len()
+    }
+}
+
+fn final_answer(id: JobId, f: FinalRecord) -> JobAnswer {
+    JobAnswer {
+        id,
+        status: if f.cancelled {
+            JobStatus::Cancelled
+        } else {
+            JobStatus::Done
+        },
+        done: f.done,
+        running: 0,
+    }
+}
+
+impl Controller {
+    const LATER: UserAnswer = UserAnswer::Later(1);
+    /// Contact older than this means that a request could not be decided in time.
+    const BLIND: Micros = Micros::millis(4_500);
+
+    fn answer(&mut self, w: &Waiting, answer: UserAnswer) {
+        self.out.push(Effect::User(w.call, answer));
+    }
+
+    fn live_answer(&self, id: JobId) -> Option<JobAnswer> {
+        let job = self.view.jobs.get(&id)?;
+        let running = self.view.booked(id).map_or(0, |b| b.len() as u32);
+        let status = match (job.record.cancelled, running) {
+            (true, _) => JobStatus::Cancelled,
+            (false, 0) => JobStatus::Queued,
+            _ => JobStatus::Running,
+        };
+        Some(JobAnswer {
+            id,
+            status,
+            done: job.record.done(),
+            running,
+        })
+    }
+
+    /// Why a job could never run; `None` also while that is not known.
+    fn never(&self, spec: &JobSpec) -> Option<&'static str> {
+        let Some(types) = &self.view.types.value else {
+            return None;
+        };
+        if !types.types.iter().any(|t| spec.fits_type(t)) {
+            return Some("a task fits no allowed machine type");
+        }
+        let team = self.cfg.team(&spec.crew)?;
+        let tasks = if spec.standing {
+            u64::from(spec.pieces)
+        } else {
+            1
+        };
+        let need = spec.need.times(tasks);
+        (!team.allows(need.cores, need.accelerators)).then_some("more than the team's limit")
+    }
+
+    pub(super) fn on_bad_submission(&mut self, call: CallId, id: JobId, why: &'static str) {
+        self.take_request(call, id, Wish::Refuse(UserAnswer::Bad(why)));
+    }
+
+    pub(super) fn on_user(&mut self, call: CallId, request: UserRequest) {
+        let id = request.job();
+        let wish = match request {
+            UserRequest::Query(_) => Wish::Query,
+            UserRequest::Abort(_) => Wish::Abort,
+            UserRequest::Submit(_, spec) => Wish::Submit(spec),
+        };
+        self.take_request(call, id, wish);
+    }
+
+    fn take_request(&mut self, call: CallId, id: JobId, wish: Wish) {
+        let mut w = Waiting {
+            call,
+            id,
+            wish,
+            since: self.now.steady,
+            day: self.now.day,
+            after: self.next_call,
+            tries: 0,
+        };
+        if let Some(f) = self.users.ended.get(&id) {
+            let answer = final_answer(id, *f);
+            return self.answer(&w, UserAnswer::Is(answer));
+        }
+        if !self.reader.ready()
+            || self.contact_age() > Self::BLIND
+            || self.users.waiting() >= Users::WAITING
+        {
+            return self.answer(&w, Self::LATER);
+        }
+        let live = self.view.jobs.get(&id);
+        match &w.wish {
+            Wish::Submit(spec) if live.is_none() => {
+                if self.cfg.team(&spec.crew).is_none() {
+                    w.wish = Wish::Refuse(UserAnswer::Never("unknown team"));
+                } else if self.view.types.value.is_none() || self.view.slices() == 0 {
+                    return self.answer(&w, Self::LATER);
+                } else if let Some(why) = self.never(spec) {
+                    w.wish = Wish::Refuse(UserAnswer::Never(why));
+                } else {
+                    self.users.submits.push(w);
+                    return;
+                }
+            }
+            Wish::Abort => match live {
+                Some(j) if j.record.cancelled => {
+                    if let Some(a) = self.live_answer(id) {
+                        self.answer(&w, UserAnswer::Is(a));
+                    }
+                    return;
+                }
+                Some(_) => {
+                    self.users.aborts.push(w);
+                    return;
+                }
+                None => {}
+            },
+            _ => {}
+        }
+        self.await_read(w);
+    }
+
+    fn await_read(&mut self, mut w: Waiting) {
+        w.after = self.next_call - 1;
+        self.users.reads.push(w);
+        self.reader.want_barrier();
+    }
+
+    pub(super) fn pump_users(&mut self) {
+        let now = self.now.steady;
+        while let Some(w) = self.users.aborts.pop() {
+            if let Err(at) = self.budget.spend(now, 1, 0.0) {
+                self.users.aborts.push(w);
+                self.wake_at(at);
+                return;
+            }
+            self.send_abort(w);
+        }
+        while !self.users.submits.is_empty() {
+            let n = self.users.submits.len().min(self.cfg.txn_ops);
+            if let Err(at) = self.budget.spend(now, n.min(4), 0.0) {
+                self.wake_at(at);
+                return;
+            }
+            let mut batch: Vec<Waiting> = self.users.submits.drain(..n.min(4)).collect();
+            // One name may be asked for twice at once.
+            batch.sort_by_key(|w| w.id);
+            let mut twins = Vec::new();
+            batch.dedup_by(|b, a| {
+                let same = a.id == b.id;
+                if same {
+                    twins.push(b.clone());
+                }
+                same
+            });
+            for t in twins {
+                self.await_read(t);
+            }
+            self.send_submits(batch);
+        }
+        while let Some(w) = self.users.finals.pop() {
+            if let Err(at) = self.budget.spend(now, 0, 0.0) {
+                self.users.finals.push(w);
+                self.wake_at(at);
+                return;
+            }
+            let key = Key::Final(w.id);
+            self.ask_state(Purpose::Final(w), StateRequest::Get(key));
+        }
+    }
+
+    fn new_record(&self, spec: &JobSpec, submitted: Micros) -> JobRecord {
+        let mut spec = spec.clone();
+        if let (Some(builds), Some(types)) = (&mut spec.builds, &self.view.types.value) {
+            // Types that the cloud does not know cannot be hired; an empty list stays one.
+            builds.retain(|b| types.get(b).is_some());
+        }
+        JobRecord {
+            spec,
+            submitted,
+            cancelled: false,
+            finished: Default::default(),
+            more: 0,
+            full: 0,
+            errors: 0,
+            avoid: Vec::new(),
+        }
+    }
+
+    fn send_submits(&mut self, batch: Vec<Waiting>) {
+        let mut txn = Txn::default();
+        let mut sent = Vec::new();
+        for w in batch {
+            let Wish::Submit(spec) = &w.wish else {
+                continue;
+            };
+            let value = encode(&self.new_record(spec, w.day));
+            // Room for a full bitmap and the machines to avoid must be left.
+            let size = value.as_ref().map_or(0, |v| v.get().len());
+            if size + 1_600.min(spec.pieces as usize / 4 + 200) > self.cfg.value_bytes {
+                self.answer(&w, UserAnswer::Bad("too large"));
+                continue;
+            }
+            txn.when.push((Key::Job(w.id), 0));
+            txn.when.push((Key::Final(w.id), 0));
+            txn.then.push(Put {
+                key: Key::Job(w.id),
+                value,
+                permit: None,
+            });
+            sent.push(w);
+        }
+        if !sent.is_empty() {
+            self.ask_state(Purpose::Submit(sent), StateRequest::Txn(txn));
+        }
+    }
+
+    pub(super) fn on_submitted(
+        &mut self,
+        batch: Vec<Waiting>,
+        result: Result<StateReply, CallError>,
+    ) {
+        match result {
+            Ok(StateReply::Applied(epoch)) => {
+                let mut touched = Touched::default();
+                let changes: Vec<Change> = batch
+                    .iter()
+                    .filter_map(|w| {
+                        let Wish::Submit(spec) = &w.wish else {
+                            return None;
+                        };
+                        Some(Change {
+                            key: Key::Job(w.id),
+                            content: Some(Content::Job(Box::new(self.new_record(spec, w.day)))),
+                            stamp: epoch,
+                        })
+                    })
+                    .collect();
+                self.view.apply(changes, &mut touched);
+                for w in &batch {
+                    if let Wish::Submit(spec) = &w.wish {
+                        tracing::info!(job = %w.id, lane = spec.lane, crew = spec.crew, pieces = spec.pieces, "accepted");
+                    }
+                    let answer = JobAnswer {
+                        id: w.id,
+                        status: JobStatus::Queued,
+                        done: 0,
+                        running: 0,
+                    };
+                    self.answer(w, UserAnswer::Accepted(answer));
+                }
+                self.on_touched_view(&touched);
+            }
+            Ok(_) | Err(CallError::Unknown) => {
+                // Known already, or the outcome is unknown: the state decides.
+                for mut w in batch {
+                    w.tries += 1;
+                    if w.tries > 2 {
+                        self.answer(&w, Self::LATER);
+                    } else {
+                        self.await_read(w);
+                    }
+                }
+            }
+            Err(_) => {
+                for w in batch {
+                    self.answer(&w, Self::LATER);
+                }
+            }
+        }
+    }
+
+    fn send_abort(&mut self, w: Waiting) {
+        let Some(job) = self.view.jobs.get(&w.id) else {
+            return self.await_read(w);
+        };
+        let mut record = job.record.clone();
+        record.cancelled = true;
+        let txn = Txn {
+            when: vec![(Key::Job(w.id), job.stamp)],
+            then: vec![Put {
+                key: Key::Job(w.id),
+                value: encode(&record),
+                permit: None,
+            }],
+        };
+        self.ask_state(Purpose::Abort(w), StateRequest::Txn(txn));
+    }
+
+    pub(super) fn on_aborted(&mut self, mut w: Waiting, result: Result<StateReply, CallError>) {
+        match result {
+            Ok(StateReply::Applied(epoch)) => {
+                tracing::info!(job = %w.id, "cancelled by its user");
+                let mut answer = JobAnswer {
+                    id: w.id,
+                    status: JobStatus::Cancelled,
+                    done: 0,
+                    running: 0,
+                };
+                if let Some(job) = self.view.jobs.get(&w.id) {
+                    let mut record = job.record.clone();
+                    record.cancelled = true;
+                    answer.done = record.done();
+                    let change = Change {
+                        key: Key::Job(w.id),
+                        content: Some(Content::Job(Box::new(record))),
+                        stamp: epoch,
+                    };
+                    let mut touched = Touched::default();
+                    self.view.apply([change], &mut touched);
+                    self.on_touched_view(&touched);
+                }
+                self.answer(&w, UserAnswer::Is(answer));
+            }
+            Ok(_) | Err(CallError::Unknown) => {
+                w.tries += 1;
+                if w.tries > 6 {
+                    self.answer(&w, Self::LATER);
+                } else {
+                    self.await_read(w);
+                }
+            }
+            Err(_) => self.answer(&w, Self::LATER),
+        }
+    }
+
+    /// Resolves what waited for a read.
+    pub(super) fn users_after_read(&mut self) {
+        if self.users.reads.is_empty() {
+            return;
+        }
+        let (ready, still): (Vec<Waiting>, Vec<Waiting>) = std::mem::take(&mut self.users.reads)
+            .into_iter()
+            .partition(|w| self.reader.passed(w.after));
+        self.users.reads = still;
+        if !self.users.reads.is_empty() {
+            self.reader.want_barrier();
+        }
+        for w in ready {
+            match (self.live_answer(w.id), &w.wish) {
+                (Some(a), Wish::Abort) if a.status != JobStatus::Cancelled => {
+                    self.users.aborts.push(w)
+                }
+                (Some(a), _) => self.answer(&w, UserAnswer::Is(a)),
+                (None, _) => match self.users.ended.get(&w.id) {
+                    Some(f) => {
+                        let a = final_answer(w.id, *f);
+                        self.answer(&w, UserAnswer::Is(a));
+                    }
+                    None => self.users.finals.push(w),
+                },
+            }
+        }
+    }
+
+    pub(super) fn on_final(&mut self, w: Waiting, result: Result<StateReply, CallError>) {
+        match result {
+            Ok(StateReply::Value(Some(value))) => {
+                match serde_json::from_str::<FinalRecord>(value.get()) {
+                    Ok(f) => {
+                        self.users.remember(w.id, f);
+                        self.answer(&w, UserAnswer::Is(final_answer(w.id, f)));
+                    }
+                    Err(_) => self.answer(&w, Self::LATER),
+                }
+            }
+            Ok(StateReply::Value(None)) => match &w.wish {
+                Wish::Query | Wish::Abort => self.answer(&w, UserAnswer::Unknown),
+                Wish::Refuse(answer) => {
+                    let answer = answer.clone();
+                    self.answer(&w, answer);
+                }
+                Wish::Submit(_) => self.users.submits.push(w),
+            },
+            _ => self.answer(&w, Self::LATER),
+        }
+    }
+
+    /// A read brought nothing: who waits for one is told to come back.
+    pub(super) fn users_without_contact(&mut self) {
+        for w in std::mem::take(&mut self.users.reads) {
+            self.answer(&w, Self::LATER);
+        }
+    }
+
+    /// Gives up on requests that took too long.
+    pub(super) fn sweep_users(&mut self) {
+        let now = self.now.steady;
+        let limit = |w: &Waiting| match w.wish {
+            Wish::Query => Micros::millis(1_500),
+            _ => Micros::millis(3_000),
+        };
+        let mut late = Vec::new();
+        let users = &mut self.users;
+        for queue in [
+            &mut users.submits,
+            &mut users.aborts,
+            &mut users.reads,
+            &mut users.finals,
+        ] {
+            late.extend(queue.extract_if(.., |w| now.since(w.since) > limit(w)));
+        }
+        for w in late {
+            self.answer(&w, Self::LATER);
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/cloud.rs
@@ -0,0 +1,238 @@
+//! The cloud's requests and responses.
+
+use super::state::CallError;
+use crate::bookkeeping::amount::{Amount, offered};
+use crate::bookkeeping::catalog::{Catalog, MachineType};
+use crate::bookkeeping::ids::MachineId;
+use crate::bookkeeping::time::Micros;
+use serde::Deserialize;
+
+/// Most machines of one rental.
+pub const HIRE_LIMIT: u32 = 50;
+/// Most machines of one release.
+pub const RELEASE_LIMIT: usize = 100;
+
+/// A request to the cloud.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CloudRequest {
+    /// Machine types and prices.
+    Catalog,
+    /// A rental.
+    Hire {
+        /// The request's name.
+        name: String,
+        /// Type.
+        build: String,
+        /// Zone.
+        yard: String,
+        /// Spot.
+        spot: bool,
+        /// How many.
+        count: u32,
+    },
+    /// A return.
+    Release(Vec<MachineId>),
+    /// A page of the machine list.
+    List(Option<MachineId>),
+}
+
+/// A machine's state by the cloud.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostStatus {
+    /// Boots.
+    Starting,
+    /// Up.
+    Running,
+    /// Stopped by itself.
+    Failed,
+}
+
+/// A listed machine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Host {
+    /// The machine.
+    pub id: MachineId,
+    /// Type.
+    pub build: String,
+    /// Zone.
+    pub yard: String,
+    /// Spot.
+    pub spot: bool,
+    /// State.
+    pub status: HostStatus,
+    /// Time since the rental request.
+    pub age: Micros,
+}
+
+/// What came of a request that was answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CloudReply {
+    /// Machine types and prices.
+    Catalog(Catalog),
+    /// Rented machines.
+    Hired(Vec<MachineId>),
+    /// None to be had.
+    NoCapacity,
+    /// They are gone.
+    Released,
+    /// A page, and whether there are more.
+    Hosts(Vec<Host>, bool),
+}
+
+/// Method, path and body of a request.
+pub fn http(request: &CloudRequest) -> (&'static str, String, Vec<u8>) {
+    match request {
+        CloudRequest::Catalog => ("GET", "/catalog".to_owned(), Vec::new()),
+        CloudRequest::Hire {
+            name,
+            build,
+            yard,
+            spot,
+            count,
+        } => {
+            let body = serde_json::json!({
+                "hire": name, "build": build, "yard": yard, "loaners": spot, "howMany": count
+            });
+            ("POST", "/hosts".to_owned(), body.to_string().into_bytes())
+        }
+        CloudRequest::Release(machines) => {
+            let names: Vec<String> = machines.iter().map(|m| m.to_string()).collect();
+            let body = serde_json::json!({ "hosts": names });
+            (
+                "POST",
+                "/hosts/release".to_owned(),
+                body.to_string().into_bytes(),
+            )
+        }
+        CloudRequest::List(after) => {
+            let after = after.map(|m| format!("after={m}&")).unwrap_or_default();
+            ("GET", format!("/hosts?{after}most=500"), Vec::new())
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct CatalogWire {
+    builds: Vec<BuildWire>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct BuildWire {
+    name: String,
+    cores: f64,
+    #[serde(default)]
+    accelerators: f64,
+    mem_gb: f64,
+    #[serde(default)]
+    local_gb: f64,
+    #[serde(rename = "fetchGbPerS", default)]
+    fetch: f64,
+    rate: f64,
+    #[serde(default)]
+    spot_price: Option<f64>,
+    #[serde(default)]
+    startup_s: f64,
+    #[serde(default)]
+    yards: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct HiredWire {
+    hosts: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct HostsWire {
+    hosts: Vec<HostWire>,
+    #[serde(default)]
+    more: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct HostWire {
+    name_id: String,
+    build: String,
+    yard: String,
+    #[serde(default)]
+    loaners: bool,
+    status: String,
+    #[serde(default)]
+    age_s: f64,
+}
+
+#[derive(Deserialize)]
+struct ErrorWire {
+    #[serde(default)]
+    error: String,
+}
+
+/// Reads a response.
+pub fn parse(request: &CloudRequest, status: u16, body: &[u8]) -> Result<CloudReply, CallError> {
+    let bad = |_: serde_json::Error| CallError::Unknown;
+    match (request, status) {
+        (CloudRequest::Hire { .. }, 503) => {
+            let full =
+                serde_json::from_slice::<ErrorWire>(body).is_ok_and(|e| e.error == "no capacity");
+            if full {
+                Ok(CloudReply::NoCapacity)
+            } else {
+                Err(CallError::Unavailable)
+            }
+        }
+        (_, 503) => Err(CallError::Unavailable),
+        (_, 429) => Err(CallError::TooMany),
+        (_, 400) => Err(CallError::Refused),
+        (CloudRequest::Catalog, 200) => {
+            let w: CatalogWire = serde_json::from_slice(body).map_err(bad)?;
+            let types = w.builds.into_iter().map(machine_type).collect();
+            Ok(CloudReply::Catalog(Catalog { types }))
+        }
+        (CloudRequest::Hire { .. }, 200) => {
+            let w: HiredWire = serde_json::from_slice(body).map_err(bad)?;
+            Ok(CloudReply::Hired(
+                w.hosts.iter().filter_map(|h| h.parse().ok()).collect(),
+            ))
+        }
+        (CloudRequest::Release(_), 200) => Ok(CloudReply::Released),
+        (CloudRequest::List(_), 200) => {
+            let w: HostsWire = serde_json::from_slice(body).map_err(bad)?;
+            let hosts = w.hosts.into_iter().filter_map(host).collect();
+            Ok(CloudReply::Hosts(hosts, w.more))
+        }
+        _ => Err(CallError::Unknown),
+    }
+}
+
+fn machine_type(b: BuildWire) -> MachineType {
+    MachineType {
+        name: b.name,
+        room: Amount {
+            cores: offered(b.cores),
+            accelerators: offered(b.accelerators),
+            memory: offered(b.mem_gb),
+        },
+        cache: offered(b.local_gb),
+        fetch: offered(b.fetch),
+        price: offered(b.rate),
+        spot_price: offered(b.spot_price.unwrap_or(b.rate)),
+        boot: Micros::from_secs_f64(b.startup_s),
+        zones: b.yards,
+    }
+}
+
+fn host(w: HostWire) -> Option<Host> {
+    Some(Host {
+        id: w.name_id.parse().ok()?,
+        build: w.build,
+        yard: w.yard,
+        spot: w.loaners,
+        status: match w.status.as_str() {
+            "failed" => HostStatus::Failed,
+            "running" => HostStatus::Running,
+            _ => HostStatus::Starting,
+        },
+        age: Micros::from_secs_f64(w.age_s),
+    })
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,9 @@
+//! Wire types, settings and their validation.
+
+pub mod cloud;
+pub mod operator;
+pub mod peer;
+pub mod settings;
+pub mod state;
+pub mod user;
+pub mod worker;
--- /dev/null
+++ b/src/protocol/peer.rs
@@ -0,0 +1,19 @@
+//! What controllers tell each other: hints, on which no rule rests.
+
+use crate::bookkeeping::records::Incarnation;
+use serde::{Deserialize, Serialize};
+
+/// A controller's view of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerHint {
+    /// Its name.
+    pub node: String,
+    /// Its process.
+    pub run: Incarnation,
+    /// Milliseconds since it last had contact with the state service; none yet if absent.
+    pub contact_ms: Option<u64>,
+    /// Revision of its copy.
+    pub epoch: u64,
+    /// Terms of all slices as its copy has them, by slice, and whether it owns them.
+    pub terms: Vec<(u64, bool)>,
+}
--- /dev/null
+++ b/src/protocol/settings.rs
@@ -0,0 +1,378 @@
+//! The platform's deploy file. Fields it may gain later are ignored.
+
+use crate::bookkeeping::amount::offered;
+use crate::bookkeeping::time::Micros;
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+use thiserror::Error;
+
+/// Why settings cannot be used: one line that names the field.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("{path}: {error}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// Not JSON, or a field is missing or of the wrong type.
+    #[error("{path}: {error}")]
+    Malformed {
+        /// The file.
+        path: String,
+        /// What is wrong, and where.
+        error: serde_json::Error,
+    },
+    /// A field's value is out of range.
+    #[error("{field}: {problem}")]
+    Invalid {
+        /// The field.
+        field: String,
+        /// What is wrong.
+        problem: &'static str,
+    },
+}
+
+#[derive(Deserialize)]
+struct File {
+    node: String,
+    zone: String,
+    bind: String,
+    back: String,
+    others: Vec<OtherFile>,
+    outside: OutsideFile,
+    params: ParamsFile,
+}
+
+#[derive(Deserialize)]
+struct OtherFile {
+    node: String,
+    peer_addr: String,
+}
+
+#[derive(Deserialize)]
+struct OutsideFile {
+    cloud: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct ParamsFile {
+    #[serde(default)]
+    teams: Vec<TeamFile>,
+    #[serde(default)]
+    objectives: Vec<serde_json::Value>,
+    workers: WorkersFile,
+    state: StateFile,
+    cloud: CloudFile,
+    quota: QuotaFile,
+    clock_error_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct TeamFile {
+    name: String,
+    #[serde(default)]
+    cpus: f64,
+    #[serde(default)]
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct ObjectiveFile {
+    kind: String,
+    #[serde(default)]
+    class: Option<String>,
+    #[serde(default)]
+    within_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct WorkersFile {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct StateFile {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: u64,
+}
+
+#[derive(Deserialize)]
+struct CloudFile {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct QuotaFile {
+    core_share: f64,
+    ram_mb: f64,
+    max_connections: u64,
+}
+
+/// Another controller.
+#[derive(Clone, Debug)]
+pub struct Other {
+    /// Its name.
+    pub node: String,
+    /// Where it listens to its peers.
+    pub back: SocketAddrV4,
+}
+
+/// A team. Amounts are thousandths; a limit of `None` limits nothing.
+#[derive(Clone, Debug)]
+pub struct Team {
+    /// Its name.
+    pub name: String,
+    /// Guaranteed cores and accelerators.
+    pub guarantee: (u64, u64),
+    /// Most cores.
+    pub cores_limit: Option<u64>,
+    /// Most accelerators.
+    pub accelerators_limit: Option<u64>,
+}
+
+impl Team {
+    /// Whether the team has a guarantee or a limit.
+    pub fn has_share(&self) -> bool {
+        self.guarantee != (0, 0) || self.cores_limit.is_some() || self.accelerators_limit.is_some()
+    }
+
+    /// Whether the team may use this much.
+    pub fn allows(&self, cores: u64, accelerators: u64) -> bool {
+        self.cores_limit.is_none_or(|l| cores <= l)
+            && self.accelerators_limit.is_none_or(|l| accelerators <= l)
+    }
+}
+
+/// An aim on how soon a class's tasks start or its jobs end.
+#[derive(Clone, Debug)]
+pub struct Objective {
+    /// What is aimed at.
+    pub kind: ObjectiveKind,
+    /// The class, all if absent.
+    pub class: Option<String>,
+}
+
+/// What an objective asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ObjectiveKind {
+    /// Done by the deadline.
+    Deadline,
+    /// Done within this time.
+    Finished(Micros),
+    /// Tasks started within this time.
+    Wait(Micros),
+    /// Work within a guarantee started within this time.
+    Guarantee(Micros),
+    /// Something this version does not know.
+    Other,
+}
+
+/// The deploy file, validated.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This controller's name.
+    pub node: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where users, workers and health checks reach it.
+    pub bind: SocketAddrV4,
+    /// Where the other controllers reach it.
+    pub back: SocketAddrV4,
+    /// The other controllers.
+    pub others: Vec<Other>,
+    /// The cloud.
+    pub cloud: SocketAddrV4,
+    /// The state service.
+    pub state: SocketAddrV4,
+    /// Teams.
+    pub teams: Vec<Team>,
+    /// Aims.
+    pub objectives: Vec<Objective>,
+    /// A worker's report interval.
+    pub report: Micros,
+    /// A worker's lease.
+    pub lease: Micros,
+    /// Time by which a cancelled job's tasks must be gone.
+    pub cancel: Micros,
+    /// Requests a second that the state service takes from all controllers together.
+    pub state_rps: f64,
+    /// Changes a second that it takes.
+    pub state_write_rps: f64,
+    /// Bytes of its largest value.
+    pub value_bytes: usize,
+    /// Changes in one transaction.
+    pub txn_ops: usize,
+    /// Requests a second that the cloud takes.
+    pub cloud_rps: f64,
+    /// How far its lists lag.
+    pub list_lag: Micros,
+    /// Share of a core.
+    pub core_share: f64,
+    /// Memory in MB.
+    pub ram_mb: f64,
+    /// Sockets.
+    pub connections: usize,
+    /// Bound of the time of day's error.
+    pub clock_error: Micros,
+}
+
+fn invalid<T>(field: impl Into<String>, problem: &'static str) -> Result<T, SettingsError> {
+    Err(SettingsError::Invalid {
+        field: field.into(),
+        problem,
+    })
+}
+
+fn positive(field: &str, value: f64) -> Result<f64, SettingsError> {
+    if value.is_finite() && value > 0.0 && value <= 1e9 {
+        Ok(value)
+    } else {
+        invalid(field, "must be above 0 and at most 1e9")
+    }
+}
+
+fn address(field: &str, text: &str) -> Result<SocketAddrV4, SettingsError> {
+    text.parse()
+        .or_else(|_| invalid(field, "must be an IPv4 address with a port"))
+}
+
+fn name(field: &str, text: String) -> Result<String, SettingsError> {
+    let plain = text.bytes().all(|b| b.is_ascii_graphic() && b != b'/');
+    if plain && (1..=100).contains(&text.len()) {
+        Ok(text)
+    } else {
+        invalid(
+            field,
+            "must be 1 to 100 printable characters without a slash",
+        )
+    }
+}
+
+impl Settings {
+    /// Reads and validates the file at `path`.
+    pub fn load(path: &str) -> Result<Settings, SettingsError> {
+        let text = std::fs::read(path).map_err(|error| SettingsError::Unreadable {
+            path: path.to_owned(),
+            error,
+        })?;
+        Settings::parse(path, &text)
+    }
+
+    /// Validates the text of a file; `path` is only named in errors.
+    pub fn parse(path: &str, text: &[u8]) -> Result<Settings, SettingsError> {
+        let file: File =
+            serde_json::from_slice(text).map_err(|error| SettingsError::Malformed {
+                path: path.to_owned(),
+                error,
+            })?;
+        let p = file.params;
+        let seconds = |field: &str, s: f64| positive(field, s).map(Micros::from_secs_f64);
+        let mut teams = Vec::new();
+        for t in p.teams {
+            for (key, value) in [
+                ("cpus", t.cpus),
+                ("cpus_max", t.cpus_max),
+                ("gpus", t.gpus),
+                ("gpus_max", t.gpus_max),
+            ] {
+                if !(0.0..=1e9).contains(&value) {
+                    return invalid(format!("params.teams.{}.{key}", t.name), "must be 0 to 1e9");
+                }
+            }
+            let limit = |amount: f64| (amount > 0.0).then(|| offered(amount));
+            teams.push(Team {
+                name: t.name,
+                guarantee: (offered(t.cpus), offered(t.gpus)),
+                cores_limit: limit(t.cpus_max),
+                accelerators_limit: limit(t.gpus_max),
+            });
+        }
+        let others = file
+            .others
+            .into_iter()
+            .map(|o| {
+                Ok(Other {
+                    node: name("others.node", o.node)?,
+                    back: address("others.peer_addr", &o.peer_addr)?,
+                })
+            })
+            .collect::<Result<_, SettingsError>>()?;
+        if p.state.txn_ops < 4 {
+            return invalid("params.state.txn_ops", "must be at least 4");
+        }
+        if p.quota.max_connections < 32 {
+            return invalid("params.quota.max_connections", "must be at least 32");
+        }
+        if p.clock_error_ms.is_nan() || !(0.0..=1e9).contains(&p.clock_error_ms) {
+            return invalid("params.clock_error_ms", "must be 0 to 1e9");
+        }
+        let settings = Settings {
+            node: name("node", file.node)?,
+            zone: file.zone,
+            bind: address("bind", &file.bind)?,
+            back: address("back", &file.back)?,
+            others,
+            cloud: address("outside.cloud", &file.outside.cloud)?,
+            state: address("outside.state", &file.outside.state)?,
+            teams,
+            objectives: p.objectives.into_iter().filter_map(objective).collect(),
+            report: seconds("params.workers.report_s", p.workers.report_s)?,
+            lease: seconds("params.workers.lease_s", p.workers.lease_s)?,
+            cancel: seconds("params.workers.cancel_s", p.workers.cancel_s)?,
+            state_rps: positive("params.state.rps", p.state.rps)?,
+            state_write_rps: positive("params.state.write_rps", p.state.write_rps)?,
+            value_bytes: (positive("params.state.value_kb", p.state.value_kb)? * 1024.0) as usize,
+            txn_ops: p.state.txn_ops as usize,
+            cloud_rps: positive("params.cloud.rps", p.cloud.rps)?,
+            list_lag: seconds("params.cloud.list_lag_s", p.cloud.list_lag_s)?,
+            core_share: positive("params.quota.core_share", p.quota.core_share)?,
+            ram_mb: positive("params.quota.ram_mb", p.quota.ram_mb)?,
+            connections: p.quota.max_connections as usize,
+            clock_error: Micros::from_secs_f64(p.clock_error_ms / 1e3),
+        };
+        Ok(settings)
+    }
+
+    /// The team of this name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.teams.iter().find(|t| t.name == name)
+    }
+
+    /// Number of controllers.
+    pub fn controllers(&self) -> usize {
+        self.others.len() + 1
+    }
+}
+
+/// Objectives of unknown kinds or forms are passed over: they only weigh decisions.
+fn objective(value: serde_json::Value) -> Option<Objective> {
+    let file: ObjectiveFile = serde_json::from_value(value).ok()?;
+    let within = file
+        .within_s
+        .filter(|s| (0.0..=1e9).contains(s))
+        .map(Micros::from_secs_f64);
+    let kind = match (file.kind.as_str(), within) {
+        ("deadline", _) => ObjectiveKind::Deadline,
+        ("finished", Some(t)) => ObjectiveKind::Finished(t),
+        ("wait", Some(t)) => ObjectiveKind::Wait(t),
+        ("guarantee", Some(t)) => ObjectiveKind::Guarantee(t),
+        _ => ObjectiveKind::Other,
+    };
+    Some(Objective {
+        kind,
+        class: file.class,
+    })
+}
--- /dev/null
+++ b/src/protocol/state.rs
@@ -0,0 +1,346 @@
+//! The state service's requests and responses.
+
+use crate::bookkeeping::records::{Key, LIVE};
+use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::{Change, Content};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use thiserror::Error;
+
+/// Why a call brought nothing.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum CallError {
+    /// No answer, or one that says nothing: the request may be carried out, now or later.
+    #[error("no answer")]
+    Unknown,
+    /// Refused without being carried out: 503.
+    #[error("unavailable")]
+    Unavailable,
+    /// Refused for its rate: 429.
+    #[error("too many requests")]
+    TooMany,
+    /// Refused as wrong: 400.
+    #[error("refused")]
+    Refused,
+}
+
+/// One change of a transaction.
+#[derive(Clone, Debug)]
+pub struct Put {
+    /// The key.
+    pub key: Key,
+    /// Its new content, already encoded; `None` removes it.
+    pub value: Option<Box<RawValue>>,
+    /// The lease that the key is attached to.
+    pub permit: Option<u64>,
+}
+
+/// A transaction.
+#[derive(Clone, Debug, Default)]
+pub struct Txn {
+    /// Conditions: key and the revision that it must have.
+    pub when: Vec<(Key, u64)>,
+    /// Changes.
+    pub then: Vec<Put>,
+}
+
+/// A request to the state service.
+#[derive(Clone, Debug)]
+pub enum StateRequest {
+    /// One key.
+    Get(Key),
+    /// A page of all live keys.
+    List {
+        /// The page begins after this key.
+        after: Option<String>,
+    },
+    /// A transaction.
+    Txn(Txn),
+    /// A new lease.
+    Grant(Micros),
+    /// A lease's renewal.
+    Touch(u64),
+    /// Changes of live keys after a revision.
+    Changes {
+        /// The revision.
+        after: u64,
+        /// How long to wait for one.
+        wait: Micros,
+    },
+}
+
+/// What came of a request that was answered.
+#[derive(Clone, Debug)]
+pub enum StateReply {
+    /// A key's raw value, or none.
+    Value(Option<Box<RawValue>>),
+    /// A page.
+    Page {
+        /// The keys.
+        items: Vec<Change>,
+        /// The last key of the page, if there are more.
+        next: Option<String>,
+        /// Revision of the page.
+        epoch: u64,
+    },
+    /// The transaction was applied at this revision.
+    Applied(u64),
+    /// The transaction failed: these keys had other revisions.
+    Clash(Vec<Key>, u64),
+    /// A lease.
+    Lease(u64),
+    /// The lease lives on.
+    Touched,
+    /// The lease is gone, or the write's lease is.
+    NoLease,
+    /// Changes up to a revision.
+    Changes(Vec<Change>, u64),
+    /// The revision asked for is too old: read everything anew.
+    TooOld,
+}
+
+#[derive(Serialize)]
+struct TxnWire<'a> {
+    when: Vec<WhenWire>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    then: Vec<ThenWire<'a>>,
+}
+
+#[derive(Serialize)]
+struct WhenWire {
+    key: String,
+    stamp: u64,
+}
+
+#[derive(Serialize)]
+struct ThenWire<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    write: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    remove: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<&'a RawValue>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    permit: Option<u64>,
+}
+
+/// Encodes a record for a [`Put`].
+pub fn encode<T: Serialize>(value: &T) -> Option<Box<RawValue>> {
+    serde_json::value::to_raw_value(value).ok()
+}
+
+/// Method, path and body of a request.
+pub fn http(request: &StateRequest) -> (&'static str, String, Vec<u8>) {
+    match request {
+        StateRequest::Get(key) => ("GET", format!("/kv/{key}"), Vec::new()),
+        StateRequest::List { after } => {
+            let after = after
+                .as_ref()
+                .map(|a| format!("&after={a}"))
+                .unwrap_or_default();
+            (
+                "GET",
+                format!("/kv?prefix={LIVE}{after}&most=1000"),
+                Vec::new(),
+            )
+        }
+        StateRequest::Txn(txn) => ("POST", "/txn".to_owned(), txn.body()),
+        StateRequest::Grant(life) => {
+            let body = serde_json::json!({ "lifeMs": life.as_millis() });
+            ("POST", "/leases".to_owned(), body.to_string().into_bytes())
+        }
+        StateRequest::Touch(id) => ("POST", format!("/leases/{id}/touch"), Vec::new()),
+        StateRequest::Changes { after, wait } => (
+            "GET",
+            format!(
+                "/changes?prefix={LIVE}&after={after}&waitMs={}",
+                wait.as_millis()
+            ),
+            Vec::new(),
+        ),
+    }
+}
+
+impl Txn {
+    /// The body on the wire.
+    pub fn body(&self) -> Vec<u8> {
+        let wire = TxnWire {
+            when: self
+                .when
+                .iter()
+                .map(|(k, s)| WhenWire {
+                    key: k.to_string(),
+                    stamp: *s,
+                })
+                .collect(),
+            then: self
+                .then
+                .iter()
+                .map(|p| {
+                    let key = Some(p.key.to_string());
+                    let (write, remove) = if p.value.is_some() {
+                        (key, None)
+                    } else {
+                        (None, key)
+                    };
+                    ThenWire {
+                        write,
+                        remove,
+                        value: p.value.as_deref(),
+                        permit: p.permit,
+                    }
+                })
+                .collect(),
+        };
+        serde_json::to_vec(&wire).unwrap_or_default()
+    }
+}
+
+#[derive(Deserialize)]
+struct ItemWire<'a> {
+    #[serde(borrow)]
+    key: std::borrow::Cow<'a, str>,
+    #[serde(borrow)]
+    value: &'a RawValue,
+    stamp: u64,
+}
+
+#[derive(Deserialize)]
+struct PageWire<'a> {
+    #[serde(borrow)]
+    items: Vec<ItemWire<'a>>,
+    #[serde(default)]
+    more: bool,
+    epoch: u64,
+}
+
+#[derive(Deserialize)]
+struct LogWire<'a> {
+    #[serde(borrow, default)]
+    write: Option<std::borrow::Cow<'a, str>>,
+    #[serde(borrow, default)]
+    remove: Option<std::borrow::Cow<'a, str>>,
+    #[serde(borrow, default)]
+    value: Option<&'a RawValue>,
+    stamp: u64,
+}
+
+#[derive(Deserialize)]
+struct ChangesWire<'a> {
+    epoch: u64,
+    #[serde(borrow)]
+    log: Vec<LogWire<'a>>,
+}
+
+#[derive(Deserialize)]
+struct ValueWire<'a> {
+    #[serde(borrow)]
+    value: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+struct EpochWire {
+    epoch: u64,
+}
+
+#[derive(Deserialize)]
+struct ClashWire {
+    #[serde(default)]
+    failed: Vec<String>,
+    epoch: u64,
+}
+
+#[derive(Deserialize)]
+struct LeaseWire {
+    permit: u64,
+}
+
+/// Reads the content of a key; `None` if either is not this project's.
+pub fn decode(key: &Key, value: &RawValue) -> Option<Content> {
+    let text = value.get();
+    Some(match key {
+        Key::Meta => Content::Meta(serde_json::from_str(text).ok()?),
+        Key::Types => Content::Types(serde_json::from_str(text).ok()?),
+        Key::Fleet => Content::Fleet(serde_json::from_str(text).ok()?),
+        Key::Node(_) => Content::Node(serde_json::from_str(text).ok()?),
+        Key::Own(_) => Content::Own(serde_json::from_str(text).ok()?),
+        Key::Group(_) => Content::Group(serde_json::from_str(text).ok()?),
+        Key::Usage(_) => Content::Usage(serde_json::from_str(text).ok()?),
+        Key::Job(_) => Content::Job(serde_json::from_str(text).ok()?),
+        Key::Chunk(..) => Content::Chunk(serde_json::from_str(text).ok()?),
+        Key::Final(_) => return None,
+    })
+}
+
+fn change(key: &str, value: Option<&RawValue>, stamp: u64) -> Option<Change> {
+    let key = Key::parse(key)?;
+    let content = match value {
+        Some(v) => Some(decode(&key, v)?),
+        None => None,
+    };
+    Some(Change {
+        key,
+        content,
+        stamp,
+    })
+}
+
+/// Reads a response.
+pub fn parse(request: &StateRequest, status: u16, body: &[u8]) -> Result<StateReply, CallError> {
+    match status {
+        503 => return Err(CallError::Unavailable),
+        429 => return Err(CallError::TooMany),
+        _ => {}
+    }
+    let bad = |_: serde_json::Error| CallError::Unknown;
+    match (request, status) {
+        (StateRequest::Get(_), 200) => {
+            let w: ValueWire = serde_json::from_slice(body).map_err(bad)?;
+            Ok(StateReply::Value(Some(w.value.to_owned())))
+        }
+        (StateRequest::Get(_), 404) => Ok(StateReply::Value(None)),
+        (StateRequest::List { .. }, 200) => {
+            let w: PageWire = serde_json::from_slice(body).map_err(bad)?;
+            let next = w.items.last().filter(|_| w.more).map(|i| i.key.to_string());
+            let items = w
+                .items
+                .iter()
+                .filter_map(|i| change(&i.key, Some(i.value), i.stamp));
+            Ok(StateReply::Page {
+                items: items.collect(),
+                next,
+                epoch: w.epoch,
+            })
+        }
+        (StateRequest::Txn(_), 200) => {
+            let w: EpochWire = serde_json::from_slice(body).map_err(bad)?;
+            Ok(StateReply::Applied(w.epoch))
+        }
+        (StateRequest::Txn(_), 409) => {
+            let w: ClashWire = serde_json::from_slice(body).map_err(bad)?;
+            let keys = w.failed.iter().filter_map(|k| Key::parse(k)).collect();
+            Ok(StateReply::Clash(keys, w.epoch))
+        }
+        (StateRequest::Txn(t), 400) if t.then.iter().any(|p| p.permit.is_some()) => {
+            Ok(StateReply::NoLease)
+        }
+        (StateRequest::Grant(_), 200) => {
+            let w: LeaseWire = serde_json::from_slice(body).map_err(bad)?;
+            Ok(StateReply::Lease(w.permit))
+        }
+        (StateRequest::Touch(_), 200) => Ok(StateReply::Touched),
+        (StateRequest::Touch(_), 404) => Ok(StateReply::NoLease),
+        (StateRequest::Changes { .. }, 200) => {
+            let w: ChangesWire = serde_json::from_slice(body).map_err(bad)?;
+            let changes = w.log.iter().filter_map(|l| match (&l.write, &l.remove) {
+                (Some(key), _) => change(key, l.value, l.stamp),
+                (None, Some(key)) => change(key, None, l.stamp),
+                _ => None,
+            });
+            Ok(StateReply::Changes(changes.collect(), w.epoch))
+        }
+        (StateRequest::Changes { .. }, 410) => Ok(StateReply::TooOld),
+        (_, 400) => Err(CallError::Refused),
+        _ => Err(CallError::Unknown),
+    }
+}
--- /dev/null
+++ b/src/protocol/user.rs
@@ -0,0 +1,255 @@
+//! What users send and get.
+
+use crate::bookkeeping::amount::{Amount, taken};
+use crate::bookkeeping::ids::JobId;
+use crate::bookkeeping::job::{JobSpec, Urgency};
+use crate::bookkeeping::time::Micros;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Largest request body.
+pub const BODY_LIMIT: usize = 64 * 1024;
+/// Most tasks of one job.
+pub const PIECES_LIMIT: u64 = 100_000;
+const NAME_LIMIT: usize = 256;
+const AMOUNT_LIMIT: f64 = 1e9;
+
+/// A submission that is malformed.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum BadSubmission {
+    /// Not a JSON object of the right types.
+    #[error("{0}")]
+    Malformed(String),
+    /// A field's value is not allowed.
+    #[error("{0}: invalid")]
+    Field(&'static str),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Submission {
+    name_id: String,
+    lane: String,
+    crew: String,
+    shape: String,
+    urgency: String,
+    pieces: u64,
+    cores: f64,
+    accelerators: f64,
+    mem_gb: f64,
+    builds: Option<Vec<String>>,
+    yard: Option<String>,
+    one_zone: bool,
+    apart: bool,
+    loaners: bool,
+    bundle: String,
+    size_gb: f64,
+    guess_s: f64,
+    bookmark_s: f64,
+    stash_s: f64,
+    due_s: Option<f64>,
+}
+
+/// Reads a submission strictly.
+pub fn parse_submission(body: &[u8]) -> Result<(JobId, JobSpec), BadSubmission> {
+    // A JSON array would pass for the fields in order.
+    if body.iter().find(|b| !b.is_ascii_whitespace()) != Some(&b'{') {
+        return Err(BadSubmission::Malformed("not a JSON object".to_owned()));
+    }
+    let s: Submission =
+        serde_json::from_slice(body).map_err(|e| BadSubmission::Malformed(e.to_string()))?;
+    let id = s
+        .name_id
+        .parse()
+        .map_err(|_| BadSubmission::Field("nameId"))?;
+    let text = |field, t: String| {
+        let ok = !t.is_empty() && t.len() <= NAME_LIMIT;
+        if ok {
+            Ok(t)
+        } else {
+            Err(BadSubmission::Field(field))
+        }
+    };
+    let number = |field, n: f64| {
+        let ok = n.is_finite() && (0.0..=AMOUNT_LIMIT).contains(&n);
+        if ok {
+            Ok(n)
+        } else {
+            Err(BadSubmission::Field(field))
+        }
+    };
+    let span = |field, n: f64| number(field, n).map(Micros::from_secs_f64);
+    if s.pieces == 0 || s.pieces > PIECES_LIMIT {
+        return Err(BadSubmission::Field("pieces"));
+    }
+    let spec = JobSpec {
+        lane: text("lane", s.lane)?,
+        crew: text("crew", s.crew)?,
+        standing: match s.shape.as_str() {
+            "sweep" => false,
+            "standing" => true,
+            _ => return Err(BadSubmission::Field("shape")),
+        },
+        urgency: match s.urgency.as_str() {
+            "critical" => Urgency::Critical,
+            "high" => Urgency::High,
+            "standard" => Urgency::Standard,
+            "low" => Urgency::Low,
+            _ => return Err(BadSubmission::Field("urgency")),
+        },
+        pieces: s.pieces as u32,
+        need: Amount {
+            cores: taken(number("cores", s.cores)?),
+            accelerators: taken(number("accelerators", s.accelerators)?),
+            memory: taken(number("memGb", s.mem_gb)?),
+        },
+        builds: s.builds,
+        yard: s.yard,
+        one_zone: s.one_zone,
+        apart: s.apart,
+        loaners: s.loaners,
+        bundle: text("bundle", s.bundle)?,
+        size: taken(number("sizeGb", s.size_gb)?),
+        guess: span("guessS", s.guess_s)?,
+        bookmark: span("bookmarkS", s.bookmark_s)?,
+        stash: span("stashS", s.stash_s)?,
+        due: s.due_s.map(|d| span("dueS", d)).transpose()?,
+    };
+    Ok((id, spec))
+}
+
+/// A job's state as users see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobStatus {
+    /// No task runs.
+    Queued,
+    /// Some task runs.
+    Running,
+    /// All tasks are done.
+    Done,
+    /// Its user cancelled it.
+    Cancelled,
+}
+
+/// An answer about a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JobAnswer {
+    /// The job.
+    pub id: JobId,
+    /// Its state.
+    pub status: JobStatus,
+    /// Finished tasks.
+    pub done: u32,
+    /// Booked tasks.
+    pub running: u32,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Answer {
+    name_id: String,
+    status: JobStatus,
+    done: u32,
+    running: u32,
+}
+
+impl JobAnswer {
+    /// The body.
+    pub fn body(&self) -> Vec<u8> {
+        let answer = Answer {
+            name_id: self.id.to_string(),
+            status: self.status,
+            done: self.done,
+            running: self.running,
+        };
+        serde_json::to_vec(&answer).unwrap_or_default()
+    }
+}
+
+/// What a user asks for.
+#[derive(Clone, Debug)]
+pub enum UserRequest {
+    /// `POST /work`.
+    Submit(JobId, Box<JobSpec>),
+    /// `GET /work/{id}`.
+    Query(JobId),
+    /// `POST /work/{id}/abort`.
+    Abort(JobId),
+}
+
+impl UserRequest {
+    /// The job it is about.
+    pub fn job(&self) -> JobId {
+        match self {
+            UserRequest::Submit(id, _) | UserRequest::Query(id) | UserRequest::Abort(id) => *id,
+        }
+    }
+}
+
+/// The answer to a user's request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UserAnswer {
+    /// 201.
+    Accepted(JobAnswer),
+    /// 200.
+    Is(JobAnswer),
+    /// 404.
+    Unknown,
+    /// 422, and why.
+    Never(&'static str),
+    /// 400, and why.
+    Bad(&'static str),
+    /// 503: cannot be decided here and now; come back after that many seconds.
+    Later(u32),
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"nameId":"req-000412","lane":"train","crew":"vision","shape":"sweep","urgency":"high",
+        "pieces":16,"cores":8.0,"accelerators":1,"memGb":64.5,"bundle":"img-07","sizeGb":6.2,"builds":["g8"],
+        "yard":null,"oneZone":true,"apart":false,"loaners":true,"guessS":240.0,"bookmarkS":30.0,"stashS":4.0,
+        "dueS":900.0,"later":1}"#;
+
+    #[test]
+    fn takes_what_is_right() {
+        let (id, spec) = parse_submission(GOOD.as_bytes()).unwrap();
+        assert_eq!(id, JobId(412));
+        assert_eq!(
+            (spec.need.cores, spec.need.memory, spec.size),
+            (8_000, 64_500, 6_200)
+        );
+        assert_eq!(spec.due, Some(Micros::secs(900)));
+        let nulls = GOOD
+            .replace("\"dueS\":900.0", "\"dueS\":null")
+            .replace("\"yard\":null,", "");
+        assert_eq!(parse_submission(nulls.as_bytes()).unwrap().1.due, None);
+    }
+
+    #[test]
+    fn refuses_what_is_wrong() {
+        for (from, to) in [
+            ("req-000412", "req-412"),
+            ("\"pieces\":16", "\"pieces\":0"),
+            ("\"pieces\":16", "\"pieces\":100001"),
+            ("\"pieces\":16", "\"pieces\":-1"),
+            ("\"cores\":8.0", "\"cores\":-8.0"),
+            ("\"cores\":8.0", "\"cores\":1e999"),
+            ("\"cores\":8.0", "\"cores\":\"8\""),
+            ("\"cores\":8.0,", ""),
+            ("\"sweep\"", "\"gang\""),
+            ("\"high\"", "\"urgent\""),
+            ("\"oneZone\":true", "\"oneZone\":1"),
+            ("\"dueS\":900.0", "\"dueS\":-1"),
+            ("\"loaners\":true", "\"loaners\":null"),
+        ] {
+            let bad = GOOD.replace(from, to);
+            assert_ne!(bad, GOOD);
+            assert!(parse_submission(bad.as_bytes()).is_err(), "{to}");
+        }
+        assert!(parse_submission(b"[1]").is_err());
+        assert!(parse_submission(b"").is_err());
+    }
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,7 @@
+//! HTTP server and client, the peer link, clocks and timers.
+
+pub mod client;
+pub mod clock;
+pub mod node;
+pub mod peers;
+pub mod server;
--- /dev/null
+++ b/src/transport/server.rs
@@ -0,0 +1,208 @@
+//! The HTTP server for users, workers and health checks.
+
+use super::node::Node;
+use crate::bookkeeping::ids::JobId;
+use crate::protocol::user::{BODY_LIMIT, BadSubmission, UserAnswer, UserRequest, parse_submission};
+use crate::protocol::worker::{Report, ReportAnswer, elsewhere_body, orders_body};
+use salvo::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use salvo::http::{ReqBody, StatusCode};
+use salvo::prelude::*;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Serves on `at`, for ever.
+pub async fn serve(node: Arc<Node>, at: SocketAddrV4, connections: usize) {
+    loop {
+        match TcpListener::new(at).try_bind().await {
+            Ok(acceptor) => {
+                let server = Server::new(acceptor).max_connections(connections);
+                if let Err(error) = server.try_serve(service(&node)).await {
+                    tracing::error!(%error, "the server stopped, starting it again");
+                }
+            }
+            Err(error) => tracing::error!(%error, %at, "cannot listen"),
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+}
+
+/// The routes.
+pub fn service(node: &Arc<Node>) -> Service {
+    let end = |what| Endpoint {
+        node: Arc::clone(node),
+        what,
+    };
+    let work = Router::with_path("work").post(end(What::Submit)).push(
+        Router::with_path("{id}")
+            .get(end(What::Query))
+            .push(Router::with_path("abort").post(end(What::Abort))),
+    );
+    let router = Router::new()
+        .push(work)
+        .push(Router::with_path("v1/report").post(end(What::Report)))
+        .push(Router::with_path("healthz").get(end(What::Health)));
+    Service::new(router)
+}
+
+#[derive(Clone, Copy)]
+enum What {
+    Submit,
+    Query,
+    Abort,
+    Report,
+    Health,
+}
+
+struct Endpoint {
+    node: Arc<Node>,
+    what: What,
+}
+
+#[async_trait]
+impl Handler for Endpoint {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        match self.what {
+            What::Submit => self.submit(req, res).await,
+            What::Query | What::Abort => self.about_job(req, res).await,
+            What::Report => self.report(req, res).await,
+            What::Health => {
+                if self.node.healthy() {
+                    json(res, StatusCode::OK, b"{}".to_vec());
+                } else {
+                    json(res, StatusCode::SERVICE_UNAVAILABLE, b"{}".to_vec());
+                }
+            }
+        }
+    }
+}
+
+impl Endpoint {
+    async fn submit(&self, req: &mut Request, res: &mut Response) {
+        let Some(body) = body(req, res).await else {
+            return;
+        };
+        let answer = match parse_submission(body) {
+            Ok((id, spec)) => {
+                self.node
+                    .user(UserRequest::Submit(id, Box::new(spec)))
+                    .await
+            }
+            Err(problem) => {
+                // A job that was accepted stays accepted, whatever a retry looks like.
+                let why = match &problem {
+                    BadSubmission::Field(field) => field,
+                    BadSubmission::Malformed(_) => "body",
+                };
+                match named_job(body) {
+                    Some(id) => self.node.bad_submission(id, why).await,
+                    None => UserAnswer::Bad(why),
+                }
+            }
+        };
+        user_answer(res, answer);
+    }
+
+    async fn about_job(&self, req: &mut Request, res: &mut Response) {
+        let id = req
+            .param::<String>("id")
+            .and_then(|id| id.parse::<JobId>().ok());
+        let answer = match (id, self.what) {
+            // Nothing of such a name was ever accepted.
+            (None, _) => UserAnswer::Unknown,
+            (Some(id), What::Abort) => self.node.user(UserRequest::Abort(id)).await,
+            (Some(id), _) => self.node.user(UserRequest::Query(id)).await,
+        };
+        user_answer(res, answer);
+    }
+
+    async fn report(&self, req: &mut Request, res: &mut Response) {
+        let Some(body) = body(req, res).await else {
+            return;
+        };
+        let answer = match Report::parse(body) {
+            Some(report) => self.node.report(report),
+            None => ReportAnswer::Malformed,
+        };
+        match answer {
+            ReportAnswer::Orders { baton, orders } => {
+                json(res, StatusCode::OK, orders_body(baton, &orders))
+            }
+            ReportAnswer::Elsewhere(owner) => {
+                json(
+                    res,
+                    StatusCode::MISDIRECTED_REQUEST,
+                    elsewhere_body(owner.as_deref()),
+                );
+            }
+            ReportAnswer::Unavailable => json(res, StatusCode::SERVICE_UNAVAILABLE, b"{}".to_vec()),
+            ReportAnswer::Malformed => json(res, StatusCode::BAD_REQUEST, b"{}".to_vec()),
+        }
+    }
+}
+
+/// The job that a malformed submission names, if it is JSON at all.
+fn named_job(body: &[u8]) -> Option<JobId> {
+    let value: serde_json::Value = serde_json::from_slice(body).ok()?;
+    value.get("nameId")?.as_str()?.parse().ok()
+}
+
+/// The body, unless it is too large: then that is answered without reading it.
+async fn body<'a>(req: &'a mut Request, res: &mut Response) -> Option<&'a [u8]> {
+    let declared = match req.body() {
+        ReqBody::None => 0,
+        _ => req
+            .headers()
+            .get(salvo::http::header::CONTENT_LENGTH)
+            .and_then(|l| l.to_str().ok()?.parse().ok())
+            .unwrap_or(0),
+    };
+    if declared <= BODY_LIMIT {
+        match tokio::time::timeout(
+            Duration::from_secs(10),
+            req.payload_with_max_size(BODY_LIMIT),
+        )
+        .await
+        {
+            Ok(Ok(bytes)) => return Some(bytes),
+            Ok(Err(_)) => {}
+            Err(_) => {
+                json(res, StatusCode::REQUEST_TIMEOUT, b"{}".to_vec());
+                return None;
+            }
+        }
+    }
+    json(res, StatusCode::PAYLOAD_TOO_LARGE, b"{}".to_vec());
+    None
+}
+
+fn json(res: &mut Response, status: StatusCode, body: Vec<u8>) {
+    res.status_code(status);
+    res.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    // Only fails on a body that was set already.
+    let _ = res.write_body(body);
+}
+
+fn problem(res: &mut Response, status: StatusCode, why: &str) {
+    json(
+        res,
+        status,
+        serde_json::json!({ "error": why }).to_string().into_bytes(),
+    );
+}
+
+fn user_answer(res: &mut Response, answer: UserAnswer) {
+    match answer {
+        UserAnswer::Accepted(a) => json(res, StatusCode::CREATED, a.body()),
+        UserAnswer::Is(a) => json(res, StatusCode::OK, a.body()),
+        UserAnswer::Unknown => problem(res, StatusCode::NOT_FOUND, "no such job"),
+        UserAnswer::Never(why) => problem(res, StatusCode::UNPROCESSABLE_ENTITY, why),
+        UserAnswer::Bad(why) => problem(res, StatusCode::BAD_REQUEST, why),
+        UserAnswer::Later(seconds) => {
+            res.headers_mut()
+                .insert(RETRY_AFTER, HeaderValue::from(seconds));
+            problem(res, StatusCode::SERVICE_UNAVAILABLE, "not now");
+        }
+    }
+}
