--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -237,6 +237,11 @@
             })
     }
 
+    /// Whether a peer has told of itself.
+    pub fn knows_peer(&self, name: &str) -> bool {
+        self.peers.contains_key(name)
+    }
+
     /// What it has counted.
     pub fn counters(&self) -> Counters {
         self.counters
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -59,6 +59,11 @@
         self.lock().controller.healthy(self.clock.now())
     }
 
+    /// Whether a peer has told of itself.
+    pub fn knows_peer(&self, name: &str) -> bool {
+        self.lock().controller.knows_peer(name)
+    }
+
     /// Hands an event over and carries out what comes of it.
     pub fn post(self: &Arc<Self>, event: Event) {
         let effects = self.handle(event);
--- /dev/null
+++ b/tests/transport.rs
@@ -0,0 +1,121 @@
+//! Real sockets: the server's answers before anything is known, the client's limits, the peer link.
+
+use cometlead::bookkeeping::time::Micros;
+use cometlead::coordination::Controller;
+use cometlead::protocol::operator::OperatorSettings;
+use cometlead::protocol::settings::Settings;
+use cometlead::transport::client::HttpClient;
+use cometlead::transport::node::Node;
+use cometlead::transport::{peers, server};
+use serde_json::json;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+async fn free_address() -> SocketAddrV4 {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap().to_string().parse().unwrap()
+}
+
+fn settings(
+    name: &str,
+    bind: SocketAddrV4,
+    back: SocketAddrV4,
+    other: SocketAddrV4,
+    state: SocketAddrV4,
+) -> Arc<Settings> {
+    let file = json!({
+        "node": name, "zone": "a", "bind": bind.to_string(), "back": back.to_string(), "new": {"field": 1},
+        "others": [{"node": "other", "zone": "a", "peer_addr": other.to_string()}],
+        "outside": {"cloud": state.to_string(), "state": state.to_string()},
+        "params": {"teams": [{"name": "t"}], "objectives": [{"kind": "new"}],
+            "workers": {"report_s": 1, "lease_s": 10, "cancel_s": 35},
+            "state": {"rps": 100, "write_rps": 40, "value_kb": 4, "txn_ops": 12},
+            "cloud": {"rps": 5, "list_lag_s": 4},
+            "quota": {"core_share": 0.1, "ram_mb": 40, "max_connections": 64}, "clock_error_ms": 100}});
+    Arc::new(Settings::parse("test", file.to_string().as_bytes()).unwrap())
+}
+
+/// Sends one request as it is written and returns the status line.
+async fn status(at: SocketAddrV4, request: &str) -> String {
+    let mut stream = loop {
+        match TcpStream::connect(at).await {
+            Ok(s) => break s,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = [0; 64];
+    let n = stream.read(&mut answer).await.unwrap();
+    String::from_utf8_lossy(&answer[..n]).lines().next().unwrap_or_default().to_owned()
+}
+
+fn post(path: &str, body: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+#[tokio::test]
+async fn answers_before_anything_is_known() {
+    // Nobody listens where the state service should be.
+    let (bind, back) = (free_address().await, free_address().await);
+    let s = settings("n0", bind, back, free_address().await, free_address().await);
+    let node = Node::new(Controller::new(Arc::clone(&s), OperatorSettings::default(), 1), &s);
+    tokio::spawn(server::serve(Arc::clone(&node), bind, 16));
+    tokio::spawn(Arc::clone(&node).run());
+    let get = |path: &str| format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n");
+    let report = r#"{"host":"i-000001","endpoint":"127.0.0.1:1","build":"b","yard":"a","loaners":true,"shift":1,
+        "tally":1,"baton":0,"recallS":null,"pieces":[],"later":[]}"#;
+    for (request, expected) in [
+        (get("/healthz"), "503"),
+        (get("/nothing"), "404"),
+        (get("/work"), "405"),
+        (get("/work/req-000001"), "503"),
+        (get("/work/nonsense"), "404"),
+        (post("/work/req-000001/abort", ""), "503"),
+        (post("/work", "not json"), "400"),
+        (post("/work", "[1]"), "400"),
+        (post("/v1/report", "{}"), "400"),
+        (post("/v1/report", report), "503"),
+        // Refused by what it declares: the body never comes.
+        ("POST /work HTTP/1.1\r\nhost: x\r\ncontent-length: 70000\r\n\r\n".to_owned(), "413"),
+    ] {
+        let line = status(bind, &request).await;
+        assert!(line.contains(expected), "{request}: {line}");
+    }
+}
+
+#[tokio::test]
+async fn every_call_has_a_limit() {
+    // A listener that accepts and says nothing.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap().to_string();
+    let silent = tokio::spawn(async move { listener.accept().await });
+    let client = HttpClient::new(1);
+    let first = client.call(&at, "GET", "/", Vec::new(), Micros::millis(200));
+    // The one socket that it may use is taken: a further call fails at once.
+    let second = async {
+        tokio::task::yield_now().await;
+        client.call(&at, "GET", "/", Vec::new(), Micros::secs(3_600)).await
+    };
+    assert_eq!(tokio::join!(first, second), (None, None));
+    silent.abort();
+}
+
+#[tokio::test]
+async fn peers_hear_of_each_other() {
+    let (back0, back1, nowhere) = (free_address().await, free_address().await, free_address().await);
+    let s0 = settings("n0", nowhere, back0, back1, nowhere);
+    let s1 = settings("n1", nowhere, back1, back0, nowhere);
+    let start = |s: &Arc<Settings>| Node::new(Controller::new(Arc::clone(s), OperatorSettings::default(), 7), s);
+    let (n0, n1) = (start(&s0), start(&s1));
+    tokio::spawn(peers::listen(Arc::clone(&n1), back1, 1));
+    tokio::spawn(peers::tell(Arc::clone(&n0), back1));
+    tokio::spawn(Arc::clone(&n0).run());
+    while !n1.knows_peer("n0") {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
