--- a/src/bookkeeping/finished.rs
+++ b/src/bookkeeping/finished.rs
@@ -23,12 +23,35 @@
         self.count
     }
 
+    /// How many bytes it takes as written.
+    pub fn bytes(&self) -> usize {
+        self.words.len() * 16
+    }
+
     /// Whether the task with this number within the chunk is in it.
     pub fn has(&self, bit: u32) -> bool {
         let word = self.words.get(bit as usize / 64).copied().unwrap_or(0);
         word >> (bit % 64) & 1 == 1
     }
 
+    /// How many tasks are in either.
+    pub fn count_with(&self, other: &Finished) -> u32 {
+        let longest = self.words.len().max(other.words.len());
+        let word = |set: &Finished, i: usize| set.words.get(i).copied().unwrap_or(0);
+        (0..longest).map(|i| (word(self, i) | word(other, i)).count_ones()).sum()
+    }
+
+    /// Adds all tasks of the other.
+    pub fn merge(&mut self, other: &Finished) {
+        if self.words.len() < other.words.len() {
+            self.words.resize(other.words.len(), 0);
+        }
+        for (mine, theirs) in self.words.iter_mut().zip(&other.words) {
+            *mine |= theirs;
+        }
+        self.count = self.words.iter().map(|w| w.count_ones()).sum();
+    }
+
     /// Adds a task; false if it was in already.
     pub fn insert(&mut self, bit: u32) -> bool {
         if self.has(bit) {
--- /dev/null
+++ b/src/bookkeeping/group.rs
@@ -0,0 +1,327 @@
+//! Groups: the records that hold machines and their bookings, and how they are written.
+//!
+//! Every change of a group is sent whole to every controller, and the store bounds a value's size,
+//! so the written form is terse: types, images and attempts are named once for the whole record,
+//! and machines refer to them by number.
+
+use super::ids::{Attempt, JobId, MachineId, TaskId};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+/// A task's place: job number, task number, attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Booking(pub u64, pub u32, pub u64);
+
+impl Booking {
+    /// The booking of an attempt.
+    pub fn of(a: Attempt) -> Booking {
+        Booking(a.task.job.0, a.task.index, a.number)
+    }
+
+    /// The attempt that it books.
+    pub fn attempt(&self) -> Attempt {
+        Attempt { task: TaskId { job: JobId(self.0), index: self.1 }, number: self.2 }
+    }
+}
+
+/// What a machine may still be used for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fitness {
+    /// Takes bookings.
+    #[default]
+    Up,
+    /// Takes no further bookings: the cloud will take it, or it is faulty.
+    Draining,
+    /// Silent: takes no bookings until it is heard again.
+    Lost,
+    /// A release may have been sent: unusable for ever.
+    Releasing,
+}
+
+impl Fitness {
+    const ALL: [Fitness; 4] = [Fitness::Up, Fitness::Draining, Fitness::Lost, Fitness::Releasing];
+}
+
+/// A machine and its bookings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MachineRecord {
+    /// Type.
+    pub build: Arc<str>,
+    /// Zone.
+    pub yard: Arc<str>,
+    /// Spot.
+    pub spot: bool,
+    /// The worker's address, if it is a plain one.
+    pub endpoint: Option<SocketAddrV4>,
+    /// What it may be used for.
+    pub fitness: Fitness,
+    /// Sessions up to this one are over for ever, whatever their worker believes.
+    pub dead: u64,
+    /// Images that it fetched, the most recently used last, with their sizes.
+    pub images: Vec<(Arc<str>, u64)>,
+    /// Bookings.
+    pub tasks: Vec<Booking>,
+    /// Those of them that are to be stopped for others, which have their room already.
+    pub preempted: Vec<Booking>,
+}
+
+impl MachineRecord {
+    /// Most images remembered for one machine.
+    const IMAGES: usize = 8;
+
+    /// Remembers that the machine has, or soon will have, an image.
+    pub fn use_image(&mut self, name: &str, size: u64, cache: u64) {
+        if self.images.last().is_some_and(|(n, _)| **n == *name) {
+            return;
+        }
+        self.images.retain(|(n, _)| **n != *name);
+        self.images.push((name.into(), size));
+        let mut total: u64 = self.images.iter().map(|(_, s)| s).sum();
+        while self.images.len() > 1 && (self.images.len() > Self::IMAGES || total > cache) {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    /// Whether it has the image.
+    pub fn has_image(&self, name: &str) -> bool {
+        self.images.iter().any(|(n, _)| **n == *name)
+    }
+
+    /// What the address adds to the machine's number; the same for most machines of a cloud.
+    fn address(&self, id: MachineId) -> Option<(u16, i64)> {
+        let at = self.endpoint?;
+        let id = i64::try_from(id.0).ok()?;
+        Some((at.port(), i64::from(u32::from(*at.ip())).checked_sub(id)?))
+    }
+}
+
+/// Some of the machines of one slice.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GroupRecord {
+    /// By number.
+    pub machines: BTreeMap<MachineId, MachineRecord>,
+}
+
+fn digits(n: u64) -> usize {
+    n.checked_ilog10().unwrap_or(0) as usize + 1
+}
+
+impl GroupRecord {
+    /// Most bytes that one more booking can add.
+    pub fn booking_bytes(a: &Attempt, image: &str, size: u64) -> usize {
+        // The attempt's entry, the image's, and the machine's references to both.
+        let attempt = digits(a.task.job.0) + digits(a.number) + 4;
+        let image = image.len() + digits(size) + 6 + 4;
+        attempt + image + 5 + digits(a.task.index.into()) + 1
+    }
+
+    /// Most bytes that marking one more booking as preempted can add.
+    pub const PREEMPTED_BYTES: usize = 20 + 5 + 10 + 5;
+
+    /// Most bytes that an empty machine can add.
+    pub fn machine_bytes(id: MachineId, r: &MachineRecord) -> usize {
+        let kind = r.build.len() + r.yard.len() + 10 + 2 + 6 + 21;
+        kind + digits(id.0) + 6 + digits(r.dead) + 8
+    }
+
+    /// About as many bytes as a machine takes with this many bookings, once names are shared.
+    pub fn usual_bytes(bookings: u64) -> usize {
+        20 + 4 * MachineRecord::IMAGES / 2 + 12 * bookings as usize
+    }
+}
+
+/// Type, zone, spot (0 or 1), and port and offset of the address.
+type Kind = (String, String, u8, Option<(u16, i64)>);
+
+#[derive(Serialize, Deserialize)]
+struct Wire<'a> {
+    /// Kinds of machines.
+    k: Vec<Kind>,
+    /// Images with their sizes.
+    #[serde(borrow)]
+    i: Vec<(std::borrow::Cow<'a, str>, u64)>,
+    /// Attempts: job and number.
+    a: Vec<(u64, u64)>,
+    /// Machines: number (less the one before), kind, fitness, sessions that are over, how many
+    /// images, the images, then attempt and task number of each booking.
+    m: Vec<Vec<u64>>,
+    /// Preempted bookings: machine, attempt, task number.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    p: Vec<(u64, u64, u64)>,
+}
+
+/// Numbers things in the order in which they come.
+struct Numbered<K, V> {
+    of: HashMap<K, u64>,
+    all: Vec<V>,
+}
+
+impl<K: std::hash::Hash + Eq, V> Numbered<K, V> {
+    fn new() -> Numbered<K, V> {
+        Numbered { of: HashMap::new(), all: Vec::new() }
+    }
+
+    fn number(&mut self, key: K, value: impl FnOnce() -> V) -> u64 {
+        let next = self.all.len() as u64;
+        let all = &mut self.all;
+        *self.of.entry(key).or_insert_with(|| {
+            all.push(value());
+            next
+        })
+    }
+}
+
+impl Serialize for GroupRecord {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        let mut kinds = Numbered::new();
+        let mut images = Numbered::new();
+        let mut attempts = Numbered::new();
+        let mut machines = Vec::with_capacity(self.machines.len());
+        let mut preempted = Vec::new();
+        let mut last = 0;
+        for (id, r) in &self.machines {
+            let address = r.address(*id);
+            let kind = kinds.number((&*r.build, &*r.yard, r.spot, address), || {
+                (r.build.to_string(), r.yard.to_string(), r.spot.into(), address)
+            });
+            let mut m = Vec::with_capacity(5 + r.images.len() + 2 * r.tasks.len());
+            m.extend([id.0 - last, kind, r.fitness as u64, r.dead, r.images.len() as u64]);
+            for (name, size) in &r.images {
+                m.push(images.number((&**name, *size), || ((&**name).into(), *size)));
+            }
+            for b in &r.tasks {
+                m.extend([attempts.number((b.0, b.2), || (b.0, b.2)), b.1.into()]);
+            }
+            for b in &r.preempted {
+                preempted.push((id.0, attempts.number((b.0, b.2), || (b.0, b.2)), b.1.into()));
+            }
+            last = id.0;
+            machines.push(m);
+        }
+        Wire { k: kinds.all, i: images.all, a: attempts.all, m: machines, p: preempted }.serialize(s)
+    }
+}
+
+impl Wire<'_> {
+    /// `None` if a number refers to nothing.
+    fn record(self) -> Option<GroupRecord> {
+        let images: Vec<(Arc<str>, u64)> = self.i.iter().map(|(n, s)| (Arc::from(&**n), *s)).collect();
+        let kinds: Vec<(Arc<str>, Arc<str>, bool, Option<(u16, i64)>)> =
+            self.k.into_iter().map(|(b, y, s, e)| (b.into(), y.into(), s == 1, e)).collect();
+        let attempts = self.a;
+        let booking = |attempt: u64, index: u64| {
+            let (job, number) = attempts.get(usize::try_from(attempt).ok()?)?;
+            Some(Booking(*job, u32::try_from(index).ok()?, *number))
+        };
+        let mut machines = BTreeMap::new();
+        let mut last: u64 = 0;
+        for m in self.m {
+            let [id, kind, fitness, dead, images_here, rest @ ..] = &*m else { return None };
+            last = last.checked_add(*id)?;
+            let (build, yard, spot, address) = kinds.get(usize::try_from(*kind).ok()?)?;
+            let endpoint = match address {
+                Some((port, offset)) => {
+                    let ip = offset.checked_add(i64::try_from(last).ok()?)?;
+                    Some(SocketAddrV4::new(u32::try_from(ip).ok()?.into(), *port))
+                }
+                None => None,
+            };
+            let (has, tasks) = rest.split_at_checked(usize::try_from(*images_here).ok()?)?;
+            let has = has.iter().map(|i| images.get(usize::try_from(*i).ok()?).cloned());
+            let record = MachineRecord {
+                build: Arc::clone(build),
+                yard: Arc::clone(yard),
+                spot: *spot,
+                endpoint,
+                fitness: *Fitness::ALL.get(usize::try_from(*fitness).ok()?)?,
+                dead: *dead,
+                images: has.collect::<Option<_>>()?,
+                tasks: tasks.chunks(2).map(|t| booking(t[0], *t.get(1)?)).collect::<Option<_>>()?,
+                preempted: Vec::new(),
+            };
+            machines.insert(MachineId(last), record);
+        }
+        for (id, attempt, index) in &self.p {
+            machines.get_mut(&MachineId(*id))?.preempted.push(booking(*attempt, *index)?);
+        }
+        Some(GroupRecord { machines })
+    }
+}
+
+impl<'de> Deserialize<'de> for GroupRecord {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let wire = Wire::deserialize(d)?;
+        wire.record().ok_or_else(|| serde::de::Error::custom("a number in the group refers to nothing"))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine(endpoint: &str) -> MachineRecord {
+        MachineRecord {
+            build: "small".into(),
+            yard: "a".into(),
+            spot: true,
+            endpoint: endpoint.parse().ok(),
+            fitness: Fitness::Up,
+            dead: 0,
+            images: Vec::new(),
+            tasks: Vec::new(),
+            preempted: Vec::new(),
+        }
+    }
+
+    /// Every estimate must be at least what the written form really grows by: a round that outgrew
+    /// the store's limit would be refused for ever.
+    #[test]
+    fn estimates_are_upper_bounds_and_records_survive_the_store() {
+        let size = |g: &GroupRecord| serde_json::to_string(g).unwrap().len();
+        let mut g = GroupRecord::default();
+        for i in 0..130u64 {
+            let id = MachineId(900 + i * 997);
+            let mut new = machine(&format!("10.1.{}.{}:9000", i / 200, 1 + i % 200));
+            new.dead = i % 3 * 1_000_000;
+            let before = size(&g);
+            let most = GroupRecord::machine_bytes(id, &new);
+            g.machines.insert(id, new);
+            assert!(size(&g) <= before + most, "a machine");
+            for n in 0..i % 5 {
+                let task = TaskId { job: JobId(999_990 + i * n), index: 99_999 - (i * n) as u32 };
+                let a = Attempt { task, number: 1_000_000 + n };
+                let image = format!("image-{}", i % 40);
+                let before = size(&g);
+                let most = GroupRecord::booking_bytes(&a, &image, 123_456);
+                let r = g.machines.get_mut(&id).unwrap();
+                r.tasks.push(Booking::of(a));
+                r.use_image(&image, 123_456, u64::MAX);
+                assert!(size(&g) <= before + most, "a booking");
+                let before = size(&g);
+                let r = g.machines.get_mut(&id).unwrap();
+                r.preempted.extend(r.tasks.last().copied());
+                // The list's own key is part of the spare room.
+                assert!(size(&g) <= before + GroupRecord::PREEMPTED_BYTES + 8, "a preemption");
+            }
+        }
+        let text = serde_json::to_string(&g).unwrap();
+        assert_eq!(serde_json::from_str::<GroupRecord>(&text).unwrap(), g);
+        assert!(serde_json::from_str::<GroupRecord>(r#"{"k":[],"i":[],"a":[],"m":[[1,0,0,0,0]]}"#).is_err());
+        assert!(serde_json::from_str::<GroupRecord>(r#"{"m":{}}"#).is_err(), "the first layout");
+    }
+
+    #[test]
+    fn many_machines_fit_a_small_value() {
+        let mut g = GroupRecord::default();
+        for i in 1..=100 {
+            let mut r = machine(&format!("10.1.0.{i}:9000"));
+            let task = TaskId { job: JobId(400_000 + i / 8), index: i as u32 };
+            r.tasks.push(Booking::of(Attempt { task, number: 10_000 + i / 8 }));
+            r.use_image("img-07", 900, u64::MAX);
+            g.machines.insert(MachineId(i), r);
+        }
+        assert!(serde_json::to_string(&g).unwrap().len() < 3_000);
+    }
+}
--- a/src/bookkeeping/ids.rs
+++ b/src/bookkeeping/ids.rs
@@ -93,6 +93,9 @@
 /// A slice: the unit of ownership, for jobs and machines alike.
 pub type Slice = usize;
 
+/// One of the group records of a slice.
+pub type Part = u32;
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -4,6 +4,7 @@
 pub mod catalog;
 pub mod finished;
 pub mod fleet;
+pub mod group;
 pub mod ids;
 pub mod job;
 pub mod placement;
--- a/src/bookkeeping/placement.rs
+++ b/src/bookkeeping/placement.rs
@@ -1,18 +1,22 @@
 //! Where tasks go: a pure plan on a set of machines.
 
 use super::amount::Amount;
-use super::ids::{JobId, MachineId, Slice};
+use super::ids::{JobId, MachineId};
 use super::job::{JobSpec, Urgency};
 use super::records::Booking;
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
 
 /// A machine that takes bookings.
 #[derive(Clone, Debug)]
 pub struct Slot<'a> {
-    /// Its slice.
-    pub slice: Slice,
     /// The machine.
     pub machine: MachineId,
+    /// Number of the record that holds it, in [`Groups`].
+    pub group: usize,
+    /// Who answers its worker, by some number that jobs use as well.
+    pub owner: usize,
     /// Type.
     pub build: &'a str,
     /// Zone.
@@ -28,11 +32,45 @@
     /// Kept for a job that found no room and comes before others.
     pub kept: bool,
     /// Images that it has or is fetching.
-    pub images: Vec<&'a str>,
+    pub images: &'a [(Arc<str>, u64)],
+    /// An image that this plan lets it fetch.
+    pub fetches: Option<&'a str>,
     /// What could be stopped there, the latest started last.
     pub running: Vec<Running>,
 }
 
+impl Slot<'_> {
+    fn has_image(&self, name: &str) -> bool {
+        self.fetches == Some(name) || self.images.iter().any(|(n, _)| **n == *name)
+    }
+}
+
+/// Records that a round may write: each one more is a change, and of changes there are few.
+#[derive(Clone, Debug, Default)]
+pub struct Groups {
+    /// Whether the round writes it.
+    pub open: Vec<bool>,
+    /// How many more it may open.
+    pub left: usize,
+}
+
+impl Groups {
+    fn may(&self, group: usize) -> bool {
+        self.left > 0 || self.open[group]
+    }
+
+    /// Opens a group; false if that would be one too many.
+    fn take(&mut self, group: usize) -> bool {
+        if !self.may(group) {
+            return false;
+        }
+        if !std::mem::replace(&mut self.open[group], true) {
+            self.left -= 1;
+        }
+        true
+    }
+}
+
 /// A booked task that others may take the room of.
 #[derive(Clone, Copy, Debug)]
 pub struct Running {
@@ -61,6 +99,8 @@
     pub most: u64,
     /// Most that a core of a machine may cost.
     pub price_limit: u64,
+    /// Who places it.
+    pub owner: usize,
     /// It is this controller's to place. The others' jobs take their turn in the plan all the same,
     /// so that nothing of lower precedence takes the room that they are about to claim.
     pub mine: bool,
@@ -87,8 +127,6 @@
     pub job: JobId,
     /// The task's number.
     pub index: u32,
-    /// The slice of the machine.
-    pub slice: Slice,
     /// The machine.
     pub machine: MachineId,
 }
@@ -96,8 +134,6 @@
 /// Tasks to be booked on a machine in the room of others that are stopped for them.
 #[derive(Clone, Debug)]
 pub struct Takeover {
-    /// The slice of the machine.
-    pub slice: Slice,
     /// The machine.
     pub machine: MachineId,
     /// What is stopped.
@@ -107,12 +143,25 @@
 }
 
 /// Finds room for what `plan` found none for, by stopping what may be stopped: of every machine
-/// the latest started first, and of all machines the one where the least is lost.
-pub fn preempt(slots: &mut [Slot<'_>], asks: &[Ask<'_>], claims: &[Claim], most: usize) -> Vec<Takeover> {
+/// the latest started first, and of all machines the one where the least is lost. `running`: what
+/// could be stopped on a machine.
+pub fn preempt(
+    slots: &mut [Slot<'_>],
+    asks: &[Ask<'_>],
+    claims: &[Claim],
+    most: usize,
+    running: &dyn Fn(MachineId) -> Vec<Running>,
+) -> Vec<Takeover> {
     let mut takeovers: Vec<Takeover> = Vec::new();
+    let mut looked = false;
     for ask in asks.iter().filter(|a| a.mine && a.preempts && !a.whole && !a.spec.one_zone && !a.spec.apart) {
         let placed = claims.iter().filter(|c| c.job == ask.job).count() as u64;
         let mut left = (ask.tasks.len() as u64).min(ask.most).saturating_sub(placed);
+        if left > 0 && !std::mem::replace(&mut looked, true) {
+            for s in slots.iter_mut() {
+                s.running = running(s.machine);
+            }
+        }
         let mut next = ask.tasks[placed as usize..].iter();
         while left > 0 && takeovers.len() < most {
             let best = slots
@@ -125,7 +174,7 @@
                     let lost: u64 = s.running[s.running.len() - victims..].iter().map(|r| r.need.cores).sum();
                     // Stopping much for little is not worth what is lost.
                     let gained = n * ask.spec.need.cores;
-                    let no_image = !s.images.contains(&ask.spec.bundle.as_str());
+                    let no_image = !s.has_image(&ask.spec.bundle);
                     (n > 0 && lost <= gained * 4).then_some((
                         (no_image, lost * 16 / gained.max(1), s.machine),
                         i,
@@ -141,13 +190,10 @@
             slot.free -= ask.spec.need.times(n);
             let from = slot.running.len() - count;
             let victims = slot.running.drain(from..).map(|r| r.booking).collect();
-            let (slice, machine) = (slot.slice, slot.machine);
-            let claims = next
-                .by_ref()
-                .take(n as usize)
-                .map(|index| Claim { job: ask.job, index: *index, slice, machine })
-                .collect();
-            takeovers.push(Takeover { slice, machine, victims, claims });
+            let machine = slot.machine;
+            let claims =
+                next.by_ref().take(n as usize).map(|index| Claim { job: ask.job, index: *index, machine }).collect();
+            takeovers.push(Takeover { machine, victims, claims });
             left -= n;
         }
     }
@@ -171,14 +217,22 @@
 }
 
 /// Places what fits, in the order of the asks; takes the room from the slots.
-pub fn plan<'a>(slots: &mut [Slot<'a>], asks: &mut [Ask<'a>], most: usize) -> Vec<Claim> {
+pub fn plan<'a>(slots: &mut [Slot<'a>], asks: &mut [Ask<'a>], groups: &mut Groups, most: usize) -> Vec<Claim> {
     let mut claims = Vec::new();
+    // Room only becomes less while planning: what is full now is not looked at again.
+    let mut live: Vec<usize> = (0..slots.len()).filter(|i| slots[*i].free.cores > 0).collect();
+    // The others' claims only take room here. Beyond some number they are no longer worth following.
+    let mut followed = 0;
     for ask in asks {
-        if claims.len() >= most {
+        live.retain(|i| !slots[*i].kept && slots[*i].free.cores > 0);
+        if claims.len() >= most || live.is_empty() {
             break;
         }
+        if !ask.mine && followed >= most {
+            continue;
+        }
         let begun = claims.len();
-        place_job(slots, ask, most, &mut claims);
+        place_job(slots, &live, ask, groups, most, &mut claims);
         let placed = claims.len() - begun;
         if ask.whole && placed < ask.tasks.len() {
             for c in claims.drain(begun..) {
@@ -187,68 +241,92 @@
                 }
             }
         }
-        keep(slots, ask, (ask.tasks.len() - placed) as u64);
+        keep(slots, &live, ask, (ask.tasks.len() - placed) as u64);
         if !ask.mine {
+            followed += placed;
             claims.truncate(begun);
         }
     }
     claims
 }
 
-fn place_job<'a>(slots: &mut [Slot<'a>], ask: &mut Ask<'a>, most: usize, claims: &mut Vec<Claim>) {
+fn place_job<'a>(
+    slots: &mut [Slot<'a>],
+    live: &[usize],
+    ask: &mut Ask<'a>,
+    groups: &mut Groups,
+    most: usize,
+    claims: &mut Vec<Claim>,
+) {
     let mut zone = ask.zones.keys().next().copied().filter(|_| ask.spec.one_zone);
     if ask.spec.one_zone && zone.is_none() {
         zone = roomiest_zone(slots, ask.spec);
     }
-    for (placed, index) in (0..).zip(&ask.tasks) {
-        if placed >= ask.most || claims.len() >= most {
-            return;
-        }
-        let Some(at) = choose(slots, ask, zone) else {
+    let fits = |s: &Slot<'_>| {
+        ask.spec.need.fits(&s.free)
+            && ask.takes(s)
+            && zone.is_none_or(|z| z == s.yard)
+            && (!ask.mine || groups.may(s.group))
+    };
+    // The image's machine, else the fullest that fits. Among machines alike in this, those that this
+    // controller answers come first: their tasks' ends then go out with its own claims.
+    let rank = |s: &Slot<'_>| {
+        let avoided = ask.avoid.contains(&s.machine);
+        let far = s.owner != ask.owner;
+        let new = !groups.open[s.group];
+        (avoided, !s.has_image(&ask.spec.bundle), far, s.free.cores, s.free.memory, new, s.price, s.machine)
+    };
+    // A machine that takes a task has the image then and is fuller, so it stays the first choice
+    // until it is full: one ranking serves all tasks of the job.
+    let mut best: BinaryHeap<_> =
+        live.iter().filter(|i| fits(&slots[**i])).map(|i| Reverse((rank(&slots[*i]), *i))).collect();
+    let mut tasks = ask.tasks.iter().take(ask.most.min(most as u64) as usize).peekable();
+    while tasks.peek().is_some() && claims.len() < most {
+        let Some(Reverse((_, at))) = best.pop() else {
             return;
         };
         let slot = &mut slots[at];
-        slot.free -= ask.spec.need;
-        if !slot.images.contains(&ask.spec.bundle.as_str()) {
-            slot.images.push(&ask.spec.bundle);
+        if ask.mine && !groups.take(slot.group) {
+            continue;
+        }
+        let in_zone = ask.zones.entry(slot.yard).or_default();
+        let limit = ask.spec.zone_limit();
+        while ask.spec.need.fits(&slot.free) && *in_zone < limit && claims.len() < most {
+            let Some(index) = tasks.next() else {
+                return;
+            };
+            slot.free -= ask.spec.need;
+            slot.fetches = Some(&ask.spec.bundle);
+            *in_zone += 1;
+            claims.push(Claim { job: ask.job, index: *index, machine: slot.machine });
         }
-        *ask.zones.entry(slot.yard).or_default() += 1;
-        claims.push(Claim { job: ask.job, index: *index, slice: slot.slice, machine: slot.machine });
     }
 }
 
 /// Keeps the machines nearest to having room for what found none, so that smaller tasks of lower
 /// precedence do not nibble at them for ever.
-fn keep(slots: &mut [Slot<'_>], ask: &Ask<'_>, missing: u64) {
+fn keep(slots: &mut [Slot<'_>], live: &[usize], ask: &Ask<'_>, missing: u64) {
     let mut missing = missing.min(ask.most);
-    let mut budget = slots.len().div_ceil(3);
-    while missing > 0 && budget > 0 {
-        let fits = |s: &Slot<'_>| !s.kept && ask.spec.need.fits(&s.all) && ask.takes(s);
-        let nearest = slots.iter_mut().filter(|s| fits(s)).max_by_key(|s| (s.free.cores, s.free.memory));
-        let Some(slot) = nearest else { return };
+    if missing == 0 {
+        return;
+    }
+    let fits = |s: &Slot<'_>| ask.spec.need.fits(&s.all) && ask.takes(s);
+    let mut nearest: Vec<usize> = live.iter().copied().filter(|i| fits(&slots[*i])).collect();
+    if !ask.whole && nearest.iter().any(|i| ask.spec.need.fits(&slots[*i].free)) {
+        // There is room; it is the round that cannot take more.
+        return;
+    }
+    nearest.sort_by_key(|i| Reverse((slots[*i].free.cores, slots[*i].free.memory)));
+    for i in nearest.into_iter().take(slots.len().div_ceil(3)) {
+        if missing == 0 {
+            return;
+        }
+        let slot = &mut slots[i];
         slot.kept = true;
         missing = missing.saturating_sub(ask.spec.need.times_in(&slot.all, missing));
-        budget -= 1;
     }
 }
 
-/// The image's machine, else the fullest that fits. The job's zone is part of what is allowed.
-fn choose(slots: &[Slot<'_>], ask: &Ask<'_>, zone: Option<&str>) -> Option<usize> {
-    let fits = |s: &Slot<'_>| {
-        !s.kept
-            && ask.spec.need.fits(&s.free)
-            && ask.takes(s)
-            && zone.is_none_or(|z| z == s.yard)
-            && (!ask.spec.apart || ask.zones.get(s.yard).copied().unwrap_or(0) < ask.spec.zone_limit())
-    };
-    let rank = |s: &Slot<'_>| {
-        let avoided = ask.avoid.contains(&s.machine);
-        let has_image = s.images.contains(&ask.spec.bundle.as_str());
-        (avoided, !has_image, s.free.cores, s.free.memory, s.price, s.machine)
-    };
-    (0..slots.len()).filter(|i| fits(&slots[*i])).min_by_key(|i| rank(&slots[*i]))
-}
-
 fn roomiest_zone<'a>(slots: &[Slot<'a>], spec: &JobSpec) -> Option<&'a str> {
     let mut room: BTreeMap<&str, u64> = BTreeMap::new();
     for s in slots.iter().filter(|s| spec.allows(s.build, s.yard, s.spot)) {
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -1,7 +1,9 @@
 //! The records kept in the state service, and their keys.
 
 use super::catalog::Catalog;
-use super::ids::{Attempt, JobId, MachineId, Slice, TaskId};
+use super::finished::Finished;
+pub use super::group::{Booking, Fitness, GroupRecord, MachineRecord};
+use super::ids::{JobId, MachineId, Part, Slice};
 use super::time::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -22,8 +24,9 @@
     Node(String),
     /// Owner of a slice.
     Own(Slice),
-    /// Machines of a slice and their bookings.
-    Group(Slice),
+    /// Some machines of a slice, and their bookings. A slice has as many of these records as its
+    /// machines need; the first of them is written with every addition.
+    Group(Slice, Part),
     /// What the slice's teams have booked.
     Usage(Slice),
     /// A live job.
@@ -42,7 +45,7 @@
             Key::Fleet => f.write_str("c/fleet"),
             Key::Node(n) => write!(f, "c/node/{n}"),
             Key::Own(k) => write!(f, "c/own/{k}"),
-            Key::Group(k) => write!(f, "c/group/{k}"),
+            Key::Group(k, n) => write!(f, "c/group/{k}/{n}"),
             Key::Usage(k) => write!(f, "c/usage/{k}"),
             Key::Job(j) => write!(f, "c/job/{}", j.0),
             Key::Chunk(j, n) => write!(f, "c/job/{}/{n}", j.0),
@@ -69,7 +72,10 @@
         match kind {
             "node" => Some(Key::Node(id.to_owned())),
             "own" => id.parse().ok().map(Key::Own),
-            "group" => id.parse().ok().map(Key::Group),
+            "group" => {
+                let (k, n) = id.split_once('/')?;
+                Some(Key::Group(k.parse().ok()?, n.parse().ok()?))
+            }
             "usage" => id.parse().ok().map(Key::Usage),
             "job" => match id.split_once('/') {
                 Some((job, n)) => Some(Key::Chunk(JobId(job.parse().ok()?), n.parse().ok()?)),
@@ -80,9 +86,16 @@
     }
 }
 
+/// How the live records are laid out. It is raised whenever they change in a way that an earlier
+/// version would misread; see [`MetaRecord::layout`].
+pub const LAYOUT: u32 = 2;
+
 /// What all controllers agree on once and for all.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MetaRecord {
+    /// Layout of the live records, [`LAYOUT`] for this version. The first one had no number.
+    #[serde(default)]
+    pub layout: u32,
     /// Number of slices.
     pub slices: usize,
     /// Slices of the teams with a guarantee or a limit.
@@ -110,113 +123,17 @@
     pub run: Incarnation,
 }
 
-/// A task's place: job number, task number, attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Booking(pub u64, pub u32, pub u64);
-
-impl Booking {
-    /// The booking of an attempt.
-    pub fn of(a: Attempt) -> Booking {
-        Booking(a.task.job.0, a.task.index, a.number)
-    }
-
-    /// The attempt that it books.
-    pub fn attempt(&self) -> Attempt {
-        Attempt { task: TaskId { job: JobId(self.0), index: self.1 }, number: self.2 }
-    }
-}
-
-/// What a machine may still be used for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Fitness {
-    /// Takes bookings.
-    #[default]
-    #[serde(rename = "u")]
-    Up,
-    /// Takes no further bookings: the cloud will take it, or it is faulty.
-    #[serde(rename = "d")]
-    Draining,
-    /// Silent: takes no bookings until it is heard again.
-    #[serde(rename = "l")]
-    Lost,
-    /// A release may have been sent: unusable for ever.
-    #[serde(rename = "r")]
-    Releasing,
-}
-
-/// A machine and its bookings.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MachineRecord {
-    /// Type.
-    #[serde(rename = "b")]
-    pub build: String,
-    /// Zone.
-    #[serde(rename = "y")]
-    pub yard: String,
-    /// Spot.
-    #[serde(rename = "s", default, skip_serializing_if = "super::job::is_false")]
-    pub spot: bool,
-    /// The worker's address.
-    #[serde(rename = "e")]
-    pub endpoint: String,
-    /// What it may be used for.
-    #[serde(rename = "f", default, skip_serializing_if = "is_up")]
-    pub fitness: Fitness,
-    /// Sessions up to this one are over for ever, whatever their worker believes.
-    #[serde(rename = "x", default, skip_serializing_if = "super::amount::is_zero")]
-    pub dead: u64,
-    /// Images that it fetched, the most recently used last, with their sizes.
-    #[serde(rename = "i", default, skip_serializing_if = "Vec::is_empty")]
-    pub images: Vec<(String, u64)>,
-    /// Bookings.
-    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
-    pub tasks: Vec<Booking>,
-    /// Those of them that are to be stopped for others, which have their room already.
-    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
-    pub preempted: Vec<Booking>,
-}
-
-fn is_up(f: &Fitness) -> bool {
-    *f == Fitness::Up
-}
-
-impl MachineRecord {
-    /// Most images remembered for one machine.
-    const IMAGES: usize = 6;
-
-    /// Remembers that the machine has, or soon will have, an image.
-    pub fn use_image(&mut self, name: &str, size: u64, cache: u64) {
-        if self.images.last().is_some_and(|(n, _)| n == name) {
-            return;
-        }
-        self.images.retain(|(n, _)| n != name);
-        self.images.push((name.to_owned(), size));
-        let mut total: u64 = self.images.iter().map(|(_, s)| s).sum();
-        while self.images.len() > 1 && (self.images.len() > Self::IMAGES || total > cache) {
-            total -= self.images.remove(0).1;
-        }
-    }
-
-    /// Whether it has the image.
-    pub fn has_image(&self, name: &str) -> bool {
-        self.images.iter().any(|(n, _)| n == name)
-    }
-}
-
-/// The machines of one slice.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GroupRecord {
-    /// By number.
-    #[serde(rename = "m", default)]
-    pub machines: BTreeMap<MachineId, MachineRecord>,
-}
-
-/// Cores and accelerators that a slice's teams have booked, in thousandths.
+/// What a slice's teams have booked, and which of its jobs' tasks ended lately. Every booking and
+/// every clearing of a slice's tasks writes this record, so the ends of many jobs go out with it
+/// and cost no write of their own.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageRecord {
-    /// By team.
+    /// Cores and accelerators booked, in thousandths, by team.
     #[serde(rename = "t", default)]
     pub teams: BTreeMap<String, (u64, u64)>,
+    /// Finished tasks that the jobs' own records do not have yet.
+    #[serde(rename = "f", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub ends: BTreeMap<JobId, Finished>,
 }
 
 impl UsageRecord {
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -8,10 +8,10 @@
 use super::amount::Amount;
 use super::catalog::{Catalog, MachineType};
 use super::finished::{CHUNK, Finished};
-use super::ids::{JobId, MachineId, Slice, TaskId};
+use super::ids::{JobId, MachineId, Part, Slice, TaskId};
 use super::job::{JobRecord, JobSpec};
 use super::records::{
-    Booking, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord, OwnRecord, UsageRecord,
+    Booking, FleetRecord, GroupRecord, Key, LAYOUT, MachineRecord, MetaRecord, NodeRecord, OwnRecord, UsageRecord,
 };
 use std::collections::{BTreeMap, HashMap};
 
@@ -67,13 +67,20 @@
     pub stamp: u64,
     /// Further chunks of the finished set.
     pub chunks: BTreeMap<u32, Stamped<Finished>>,
+    /// Finished tasks that the slice's usage record has, and the job's own may not have yet.
+    pub ends: Finished,
 }
 
 impl Job {
+    /// How many tasks are finished.
+    pub fn done(&self) -> u32 {
+        self.record.finished.count_with(&self.ends) + self.record.more
+    }
+
     /// Whether the task is finished.
     pub fn finished(&self, index: u32) -> bool {
         match index / CHUNK {
-            0 => self.record.finished.has(index),
+            0 => self.record.finished.has(index) || self.ends.has(index),
             n if self.record.full >> n & 1 == 1 => true,
             n => self.chunks.get(&n).is_some_and(|c| c.value.has(index % CHUNK)),
         }
@@ -99,8 +106,8 @@
 pub struct Touched {
     /// Slices whose owner changed.
     pub own: Vec<Slice>,
-    /// Slices whose machines or bookings changed.
-    pub groups: Vec<Slice>,
+    /// Machines that came, changed or went.
+    pub machines: Vec<MachineId>,
     /// Slices whose usage changed.
     pub usage: bool,
     /// Jobs that came, changed or went.
@@ -126,12 +133,13 @@
     pub nodes: BTreeMap<String, Stamped<NodeRecord>>,
     /// Owners, by slice.
     pub own: Vec<Stamped<Option<OwnRecord>>>,
-    /// Groups, by slice.
-    pub groups: Vec<Stamped<GroupRecord>>,
+    /// Groups, by slice and part.
+    pub groups: Vec<BTreeMap<Part, Stamped<GroupRecord>>>,
     /// Usage, by slice.
     pub usage: Vec<Stamped<UsageRecord>>,
     /// Live jobs.
     pub jobs: HashMap<JobId, Job>,
+    parts: HashMap<MachineId, Part>,
     booked: HashMap<JobId, BTreeMap<u32, Place>>,
     gone: HashMap<Key, u64>,
 }
@@ -168,14 +176,34 @@
         }
     }
 
+    /// The record that holds a machine.
+    pub fn home(&self, m: MachineId) -> Option<(Slice, Part)> {
+        self.parts.get(&m).map(|n| (self.machine_slice(m), *n))
+    }
+
     /// The machine's record.
     pub fn machine(&self, m: MachineId) -> Option<&MachineRecord> {
-        self.groups.get(self.machine_slice(m))?.value.machines.get(&m)
+        let (k, n) = self.home(m)?;
+        self.groups.get(k)?.get(&n)?.value.machines.get(&m)
     }
 
     /// All machines of all groups.
     pub fn machines(&self) -> impl Iterator<Item = (Slice, MachineId, &MachineRecord)> {
-        self.groups.iter().enumerate().flat_map(|(k, g)| g.value.machines.iter().map(move |(m, r)| (k, *m, r)))
+        (0..self.groups.len()).flat_map(|k| self.machines_of(k).map(move |(m, r)| (k, m, r)))
+    }
+
+    /// The machines of a slice.
+    pub fn machines_of(&self, k: Slice) -> impl Iterator<Item = (MachineId, &MachineRecord)> {
+        self.groups
+            .get(k)
+            .into_iter()
+            .flat_map(|parts| parts.values())
+            .flat_map(|g| g.value.machines.iter().map(|(m, r)| (*m, r)))
+    }
+
+    /// The kept records are of another layout than this version's and must not be touched.
+    pub fn foreign(&self) -> bool {
+        self.meta.value.as_ref().is_some_and(|m| m.layout != LAYOUT)
     }
 
     /// The type of this name.
@@ -216,7 +244,7 @@
     /// How many tasks of a job are neither finished nor booked.
     pub fn pending_count(&self, id: JobId, job: &Job) -> u32 {
         let booked = self.booked.get(&id).map_or(0, |b| b.len() as u32);
-        job.record.spec.pieces.saturating_sub(job.record.done() + booked)
+        job.record.spec.pieces.saturating_sub(job.done() + booked)
     }
 
     /// The revision of a key as the copy knows it.
@@ -227,7 +255,7 @@
             Key::Fleet => self.fleet.stamp,
             Key::Node(n) => self.nodes.get(n).map_or(0, |s| s.stamp),
             Key::Own(k) => self.own.get(*k).map_or(0, |s| s.stamp),
-            Key::Group(k) => self.groups.get(*k).map_or(0, |s| s.stamp),
+            Key::Group(k, n) => self.groups.get(*k).and_then(|g| g.get(n)).map_or(0, |s| s.stamp),
             Key::Usage(k) => self.usage.get(*k).map_or(0, |s| s.stamp),
             Key::Job(j) => self.jobs.get(j).map_or(0, |s| s.stamp),
             Key::Chunk(j, n) => self.jobs.get(j).and_then(|s| s.chunks.get(n)).map_or(0, |c| c.stamp),
@@ -291,14 +319,13 @@
                 self.own[k] = Stamped { value, stamp };
                 touched.own.push(k);
             }
-            (Key::Group(k), content) => {
+            (Key::Group(k, n), content) => {
                 self.size_for(k);
                 let value = match content {
-                    Some(Content::Group(g)) => g,
-                    _ => GroupRecord::default(),
+                    Some(Content::Group(g)) => Some(Stamped { value: g, stamp }),
+                    _ => None,
                 };
-                self.index_group(k, value, stamp);
-                touched.groups.push(k);
+                self.put_group(k, n, value, touched);
             }
             (Key::Usage(k), content) => {
                 self.size_for(k);
@@ -306,7 +333,7 @@
                     Some(Content::Usage(u)) => u,
                     _ => UsageRecord::default(),
                 };
-                self.usage[k] = Stamped { value, stamp };
+                self.put_usage(k, Stamped { value, stamp });
                 touched.usage = true;
             }
             (Key::Job(id), Some(Content::Job(record))) => {
@@ -317,8 +344,10 @@
                         job.stamp = stamp;
                     }
                     None => {
+                        let usage = self.usage.get(self.job_slice(id, &record.spec));
+                        let ends = usage.and_then(|u| u.value.ends.get(&id)).cloned().unwrap_or_default();
                         let chunks = BTreeMap::new();
-                        self.jobs.insert(id, Job { record, stamp, chunks });
+                        self.jobs.insert(id, Job { record, stamp, chunks, ends });
                     }
                 }
                 touched.jobs.push(id);
@@ -341,9 +370,38 @@
         }
     }
 
-    fn index_group(&mut self, k: Slice, value: GroupRecord, stamp: u64) {
-        let old = std::mem::replace(&mut self.groups[k], Stamped { value, stamp });
-        for (m, record) in &old.value.machines {
+    fn put_usage(&mut self, k: Slice, new: Stamped<UsageRecord>) {
+        let old = std::mem::replace(&mut self.usage[k], new);
+        let ends = &self.usage[k].value.ends;
+        for id in old.value.ends.keys().filter(|id| !ends.contains_key(id)) {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.ends = Finished::default();
+            }
+        }
+        for (id, set) in ends {
+            if let Some(job) = self.jobs.get_mut(id)
+                && job.ends != *set
+            {
+                job.ends.clone_from(set);
+            }
+        }
+    }
+
+    /// Replaces a group, and brings the indexes along for what changed in it.
+    fn put_group(&mut self, k: Slice, n: Part, new: Option<Stamped<GroupRecord>>, touched: &mut Touched) {
+        let old = match new {
+            Some(g) => self.groups[k].insert(n, g),
+            None => self.groups[k].remove(&n),
+        };
+        let none = BTreeMap::new();
+        let before = old.as_ref().map_or(&none, |g| &g.value.machines);
+        let after = self.groups[k].get(&n).map_or(&none, |g| &g.value.machines);
+        for (m, record) in before {
+            let now = after.get(m);
+            if now == Some(record) {
+                continue;
+            }
+            touched.machines.push(*m);
             for Booking(job, index, number) in &record.tasks {
                 let place = Place { machine: *m, number: *number };
                 if let Some(tasks) = self.booked.get_mut(&JobId(*job)) {
@@ -356,8 +414,19 @@
                     }
                 }
             }
+            if now.is_none() && self.parts.get(m) == Some(&n) {
+                self.parts.remove(m);
+            }
         }
-        for (m, record) in &self.groups[k].value.machines {
+        for (m, record) in after {
+            let was = before.get(m);
+            if was == Some(record) {
+                continue;
+            }
+            if was.is_none() {
+                touched.machines.push(*m);
+                self.parts.insert(*m, n);
+            }
             for Booking(job, index, number) in &record.tasks {
                 let place = Place { machine: *m, number: *number };
                 self.booked.entry(JobId(*job)).or_default().insert(*index, place);
--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -2,19 +2,22 @@
 
 use super::sessions::{Mark, Outcome};
 use crate::bookkeeping::finished::{CHUNK, Finished};
-use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice};
+use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Part, Slice};
 use crate::bookkeeping::job::{FinalRecord, JobRecord};
 use crate::bookkeeping::records::{Booking, Fitness, GroupRecord, Key, MachineRecord, UsageRecord};
-use crate::bookkeeping::view::{Change, Content, View};
+use crate::bookkeeping::view::{Change, Content, Job, View};
 use crate::protocol::state::{Put, Txn, encode};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Bytes that a transaction may take; the service allows a little more.
 const TXN_BYTES: usize = 56 * 1024;
-/// Bytes that one more booking may add to a group's record.
-const BOOKING_BYTES: usize = 44;
-/// Bytes kept free of a group's record for changes of its machines.
+/// Bytes kept free of a record for changes that must not wait: marks of machines.
 const SPARE_BYTES: usize = 256;
+/// Largest job whose ends go into its slice's usage record. The ends of larger ones come in
+/// numbers, so a write of their own record carries many.
+const SMALL_JOB: u32 = 256;
+/// Bytes that one more job adds to a usage record, beside its bitmap.
+const ENTRY_BYTES: usize = 26;
 
 /// What a draft may take.
 #[derive(Clone, Copy, Debug)]
@@ -25,11 +28,21 @@
     pub conditions: usize,
     /// Bytes of one value.
     pub value_bytes: usize,
+    /// Bytes that a group should have at most once its machines are full, and the bound of what
+    /// a usage record keeps of ended tasks.
+    pub part_bytes: usize,
 }
 
 #[derive(Clone, Debug)]
 struct GroupEdit {
     record: GroupRecord,
+    /// At least as many as the record has.
+    bytes: usize,
+}
+
+#[derive(Clone, Debug)]
+struct UsageEdit {
+    record: UsageRecord,
     bytes: usize,
 }
 
@@ -45,8 +58,12 @@
 pub struct Draft<'a> {
     view: &'a View,
     limits: Limits,
-    groups: BTreeMap<Slice, GroupEdit>,
-    usage: BTreeMap<Slice, UsageRecord>,
+    groups: BTreeMap<(Slice, Part), GroupEdit>,
+    /// Machines that it adds.
+    added: BTreeMap<MachineId, (Slice, Part)>,
+    /// Bytes that the machines of a group will take once they are full.
+    expected: BTreeMap<(Slice, Part), usize>,
+    usage: BTreeMap<Slice, UsageEdit>,
     jobs: BTreeMap<JobId, JobEdit>,
     removed_chunks: BTreeSet<(JobId, u32)>,
     conditions: BTreeSet<Key>,
@@ -64,6 +81,19 @@
     pub ended: Vec<(JobId, FinalRecord)>,
 }
 
+/// Records that an edit needs.
+#[derive(Clone, Copy, Debug, Default)]
+struct Needs<'a> {
+    groups: &'a [(Slice, Part)],
+    usage: Option<Slice>,
+    job: Option<JobId>,
+    conditions: &'a [Key],
+}
+
+fn size_of<T: serde::Serialize>(value: &T) -> usize {
+    encode(value).map_or(0, |r| r.get().len())
+}
+
 impl<'a> Draft<'a> {
     /// An empty draft on the copy.
     pub fn new(view: &'a View, limits: Limits) -> Draft<'a> {
@@ -71,6 +101,8 @@
             view,
             limits,
             groups: BTreeMap::new(),
+            added: BTreeMap::new(),
+            expected: BTreeMap::new(),
             usage: BTreeMap::new(),
             jobs: BTreeMap::new(),
             removed_chunks: BTreeSet::new(),
@@ -90,51 +122,94 @@
         self.groups.len() + self.usage.len() + jobs + self.removed_chunks.len()
     }
 
+    /// Changes that it may still take.
+    pub fn ops_left(&self) -> usize {
+        self.limits.ops.saturating_sub(self.ops())
+    }
+
+    /// Whether it writes this group already.
+    pub fn writes_group(&self, at: (Slice, Part)) -> bool {
+        self.groups.contains_key(&at)
+    }
+
+    /// Whether it writes this slice's usage already.
+    pub fn writes_usage(&self, k: Slice) -> bool {
+        self.usage.contains_key(&k)
+    }
+
     /// Makes sure that the records can be edited within the limits; changes nothing otherwise.
-    fn reserve(&mut self, group: Option<Slice>, usage: Option<Slice>, job: Option<JobId>, conditions: &[Key]) -> bool {
+    fn reserve(&mut self, needs: Needs<'_>) -> bool {
         let mut ops = self.ops();
-        let new_group = group.filter(|k| !self.groups.contains_key(k));
-        let new_usage = usage.filter(|k| !self.usage.contains_key(k));
-        ops += usize::from(new_group.is_some()) + usize::from(new_usage.is_some());
-        if let Some(j) = job {
+        let new_groups: Vec<(Slice, Part)> =
+            needs.groups.iter().copied().filter(|g| !self.groups.contains_key(g)).collect();
+        let new_usage = needs.usage.filter(|k| !self.usage.contains_key(k));
+        ops += new_groups.len() + usize::from(new_usage.is_some());
+        let mut job_bytes = 0;
+        if let Some(id) = needs.job
+            && let Some(job) = self.view.jobs.get(&id)
+        {
             // A job may turn out to end, or to write one more chunk.
-            let chunked = self.view.jobs.get(&j).is_some_and(|j| j.spec().extra_chunks() > 0);
-            ops += 1 + usize::from(chunked) + usize::from(!self.jobs.contains_key(&j));
+            let chunked = job.spec().extra_chunks() > 0;
+            let new = !self.jobs.contains_key(&id);
+            ops += 1 + usize::from(chunked) + usize::from(new);
+            if new {
+                // The bitmaps, which may be full already, are two hexadecimal digits a byte.
+                let bitmap = job.spec().pieces.min(CHUNK) as usize / 4 + 16;
+                job_bytes = size_of(&job.record) + 512 + bitmap * (1 + usize::from(chunked));
+            }
         }
-        let new_conditions = conditions.iter().filter(|c| !self.conditions.contains(c)).count();
+        let new_conditions = needs.conditions.iter().filter(|c| !self.conditions.contains(c)).count();
         // Everything written is a condition as well.
         let all = ops + self.conditions.len() + new_conditions;
         if ops > self.limits.ops || all > self.limits.conditions {
             return false;
         }
-        if let Some(k) = new_group {
-            let record = self.view.groups[k].value.clone();
-            let bytes = encode(&record).map_or(0, |r| r.get().len());
-            if self.bytes + bytes > TXN_BYTES {
-                return false;
-            }
-            self.bytes += bytes;
-            self.groups.insert(k, GroupEdit { record, bytes });
-        }
-        if let Some(k) = new_usage {
-            self.usage.insert(k, self.view.usage[k].value.clone());
-            self.bytes += 512;
+        let groups: Vec<((Slice, Part), GroupEdit)> = new_groups
+            .into_iter()
+            .map(|(k, n)| {
+                let record = self.view.groups[k].get(&n).map(|g| g.value.clone()).unwrap_or_default();
+                let bytes = size_of(&record);
+                ((k, n), GroupEdit { record, bytes })
+            })
+            .collect();
+        let usage = new_usage.map(|k| {
+            let record = self.view.usage[k].value.clone();
+            let bytes = size_of(&record) + SPARE_BYTES;
+            (k, UsageEdit { record, bytes })
+        });
+        let more: usize = groups.iter().map(|(_, g)| g.bytes).sum();
+        let more = more + usage.as_ref().map_or(0, |(_, u)| u.bytes) + job_bytes;
+        if self.bytes + more > TXN_BYTES {
+            return false;
         }
-        if let Some(j) = job.filter(|j| !self.jobs.contains_key(j))
-            && let Some(job) = self.view.jobs.get(&j)
+        self.bytes += more;
+        self.groups.extend(groups);
+        self.usage.extend(usage);
+        if let Some(id) = needs.job.filter(|id| !self.jobs.contains_key(id))
+            && let Some(job) = self.view.jobs.get(&id)
         {
-            self.bytes += 3_000;
-            self.jobs.insert(j, JobEdit { record: job.record.clone(), chunks: BTreeMap::new(), ended: None });
+            let mut record = job.record.clone();
+            // A record that is written takes what the usage record kept for it.
+            let kept = needs.usage.and_then(|k| self.usage.get_mut(&k)).and_then(|u| u.record.ends.remove(&id));
+            if let Some(ends) = kept {
+                record.finished.merge(&ends);
+            }
+            self.jobs.insert(id, JobEdit { record, chunks: BTreeMap::new(), ended: None });
         }
-        self.conditions.extend(conditions.iter().cloned());
-        self.bytes <= TXN_BYTES
+        self.conditions.extend(needs.conditions.iter().cloned());
+        true
     }
 
-    fn grow(&mut self, k: Slice, by: usize) -> bool {
-        let Some(g) = self.groups.get_mut(&k) else {
+    /// Makes sure that a group may grow by some bytes, and still leaves `spare`.
+    fn grow(&mut self, at: (Slice, Part), by: usize, spare: usize) -> bool {
+        let Some(g) = self.groups.get_mut(&at) else {
             return false;
         };
-        if g.bytes + by + SPARE_BYTES > self.limits.value_bytes || self.bytes + by > TXN_BYTES {
+        if g.bytes + by + spare > self.limits.value_bytes {
+            // What was added up are upper bounds; near the limit it is worth looking.
+            g.bytes = size_of(&g.record);
+        }
+        if g.bytes + by + spare > self.limits.value_bytes || self.bytes + by > TXN_BYTES {
             return false;
         }
         g.bytes += by;
@@ -142,44 +217,88 @@
         true
     }
 
+    /// The group that holds a machine.
+    fn home(&self, m: MachineId) -> Option<(Slice, Part)> {
+        self.added.get(&m).copied().or_else(|| self.view.home(m))
+    }
+
     /// The machine as this draft would leave it.
-    pub fn machine(&self, k: Slice, m: MachineId) -> Option<&MachineRecord> {
-        match self.groups.get(&k) {
+    pub fn machine(&self, m: MachineId) -> Option<&MachineRecord> {
+        match self.groups.get(&self.home(m)?) {
             Some(g) => g.record.machines.get(&m),
-            None => self.view.groups[k].value.machines.get(&m),
+            None => self.view.machine(m),
         }
     }
 
-    /// All machines as this draft would leave them.
-    pub fn machines(&self) -> impl Iterator<Item = (Slice, MachineId, &MachineRecord)> {
-        self.view
-            .groups
-            .iter()
-            .enumerate()
-            .map(|(k, g)| (k, self.groups.get(&k).map_or(&g.value, |e| &e.record)))
-            .flat_map(|(k, g)| g.machines.iter().map(move |(m, r)| (k, *m, r)))
+    fn machine_mut(&mut self, m: MachineId) -> Option<&mut MachineRecord> {
+        let at = self.home(m)?;
+        self.groups.get_mut(&at)?.record.machines.get_mut(&m)
+    }
+
+    /// All machines of the copy as this draft would leave them, with the groups that hold them.
+    pub fn machines(&self) -> impl Iterator<Item = ((Slice, Part), MachineId, &MachineRecord)> {
+        let parts =
+            self.view.groups.iter().enumerate().flat_map(|(k, parts)| parts.iter().map(move |(n, g)| ((k, *n), g)));
+        parts
+            .map(|(at, g)| (at, self.groups.get(&at).map_or(&g.value, |e| &e.record)))
+            .flat_map(|(at, g)| g.machines.iter().map(move |(m, r)| (at, *m, r)))
     }
 
     /// What a team of a slice would have booked.
     pub fn used(&self, k: Slice, team: &str) -> (u64, u64) {
-        self.usage.get(&k).unwrap_or(&self.view.usage[k].value).of(team)
+        self.usage.get(&k).map_or(&self.view.usage[k].value, |u| &u.record).of(team)
     }
 
-    /// Adds a machine that was heard for the first time.
-    pub fn add(&mut self, k: Slice, m: MachineId, record: MachineRecord) -> bool {
-        let size = 120 + record.endpoint.len() + record.build.len() + record.yard.len();
-        if !self.reserve(Some(k), None, None, &[Key::Own(k)]) || !self.grow(k, size) {
-            return false;
-        }
-        if let Some(g) = self.groups.get_mut(&k) {
-            g.record.machines.entry(m).or_insert(record);
+    /// Adds a machine that was heard for the first time, to the first of the slice's groups that
+    /// will still have room when all of its machines are full, else to a new one. `full`: bytes
+    /// that a machine of a type takes then.
+    ///
+    /// Every addition writes the slice's first group, which is never removed. So an addition with
+    /// unknown outcome cannot succeed beside a later one of the same machine to another group; one
+    /// of an earlier owner fails for its term.
+    pub fn add(&mut self, k: Slice, m: MachineId, record: MachineRecord, full: &dyn Fn(&str) -> usize) -> bool {
+        let size = GroupRecord::machine_bytes(m, &record);
+        let expected = full(&record.build).max(size);
+        for n in 0.. {
+            let at = (k, n);
+            let group = match self.groups.get(&at) {
+                Some(g) => Some(&g.record),
+                None => self.view.groups[k].get(&n).map(|g| &g.value),
+            };
+            let exists = group.is_some();
+            let before = *self
+                .expected
+                .entry(at)
+                .or_insert_with(|| group.map_or(64, |g| g.machines.values().map(|r| full(&r.build)).sum()));
+            // A group with a single machine may be larger than a group should be.
+            let fits = before + expected <= self.limits.part_bytes || group.is_none_or(|g| g.machines.is_empty());
+            if !fits {
+                continue;
+            }
+            let both = [(k, 0), at];
+            let groups = if n == 0 { &both[..1] } else { &both };
+            if !self.reserve(Needs { groups, conditions: &[Key::Own(k)], ..Needs::default() }) {
+                return false;
+            }
+            if !self.grow(at, size, SPARE_BYTES) {
+                if exists {
+                    continue;
+                }
+                return false;
+            }
+            if let Some(g) = self.groups.get_mut(&at) {
+                g.record.machines.insert(m, record);
+            }
+            self.added.insert(m, at);
+            self.expected.insert(at, before + expected);
+            return true;
         }
-        true
+        false
     }
 
     /// Sets a machine's fitness and the sessions that are over. `by`: the slice whose owner decides.
-    pub fn mark(&mut self, k: Slice, m: MachineId, mark: Mark, by: Slice) -> bool {
-        let Some(now) = self.machine(k, m) else {
+    pub fn mark(&mut self, m: MachineId, mark: Mark, by: Slice) -> bool {
+        let (Some(now), Some(at)) = (self.machine(m), self.home(m)) else {
             return true;
         };
         // A machine that may have been released is unusable for ever.
@@ -188,10 +307,13 @@
         if (now.fitness, now.dead) == (fitness, dead) {
             return true;
         }
-        if !self.reserve(Some(k), None, None, &[Key::Own(by)]) {
+        let more = usize::from(dead > now.dead) * 6;
+        if !self.reserve(Needs { groups: &[at], conditions: &[Key::Own(by)], ..Needs::default() })
+            || !self.grow(at, more, 0)
+        {
             return false;
         }
-        if let Some(r) = self.groups.get_mut(&k).and_then(|g| g.record.machines.get_mut(&m)) {
+        if let Some(r) = self.machine_mut(m) {
             r.fitness = fitness;
             r.dead = dead;
         }
@@ -199,41 +321,76 @@
     }
 
     /// Clears a booking: its outcome, its room and its team's usage in one.
-    pub fn clear(&mut self, k: Slice, m: MachineId, a: Attempt, outcome: Outcome, by: Slice) -> bool {
+    pub fn clear(&mut self, m: MachineId, a: Attempt, outcome: Outcome, by: Slice) -> bool {
         let booking = Booking::of(a);
-        if !self.machine(k, m).is_some_and(|r| r.tasks.contains(&booking)) {
+        let Some(at) = self.home(m) else {
+            return true;
+        };
+        if !self.machine(m).is_some_and(|r| r.tasks.contains(&booking)) {
             return true;
         }
         let id = a.task.job;
-        let Some(job) = self.view.jobs.get(&id) else {
+        let view = self.view;
+        let Some(job) = view.jobs.get(&id) else {
             return true;
         };
-        let job_slice = self.view.job_slice(id, job.spec());
-        let edits_job = outcome != Outcome::Again && !job.record.cancelled;
-        if !self.reserve(Some(k), Some(job_slice), edits_job.then_some(id), &[Key::Own(by)]) {
+        let spec = job.spec();
+        let k = view.job_slice(id, spec);
+        let counts = outcome != Outcome::Again && !job.record.cancelled;
+        let usage = (outcome == Outcome::Done && self.goes_with_usage(job, a, k)).then_some(k);
+        let own = (counts && usage.is_none()).then_some(id);
+        if !self.reserve(Needs { groups: &[at], usage: Some(k), job: own, conditions: &[Key::Own(by)] }) {
             return false;
         }
-        let spec = job.spec();
-        if let Some(u) = self.usage.get_mut(&job_slice) {
-            u.take(&spec.crew, spec.need.cores, spec.need.accelerators);
+        if let Some(u) = self.usage.get_mut(&k) {
+            u.record.take(&spec.crew, spec.need.cores, spec.need.accelerators);
         }
-        if let Some(r) = self.groups.get_mut(&k).and_then(|g| g.record.machines.get_mut(&m)) {
+        if let Some(r) = self.machine_mut(m) {
             r.tasks.retain(|b| *b != booking);
             r.preempted.retain(|b| *b != booking);
         }
-        if edits_job {
-            match outcome {
-                Outcome::Done => self.finish(id, a.task.index),
-                _ => {
-                    if let Some(j) = self.jobs.get_mut(&id) {
-                        j.record.failed_on(m);
-                    }
+        if !counts {
+            return true;
+        }
+        match (outcome, usage) {
+            (Outcome::Done, Some(k)) => {
+                if let Some(u) = self.usage.get_mut(&k) {
+                    let before = u.record.ends.get(&id).map_or(0, Finished::bytes);
+                    let set = u.record.ends.entry(id).or_default();
+                    set.insert(a.task.index);
+                    let more = set.bytes() - before + if before == 0 { ENTRY_BYTES } else { 0 };
+                    u.bytes += more;
+                    self.bytes += more;
+                }
+            }
+            (Outcome::Done, None) => self.finish(id, a.task.index),
+            _ => {
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    j.record.failed_on(m);
                 }
             }
         }
         true
     }
 
+    /// Whether a task's end goes into the usage record: its job is small, goes on after it, is not
+    /// written for another reason, and there is room.
+    fn goes_with_usage(&self, job: &Job, a: Attempt, k: Slice) -> bool {
+        let id = a.task.job;
+        if job.spec().pieces > SMALL_JOB || job.record.cancelled || self.jobs.contains_key(&id) {
+            return false;
+        }
+        let none = Finished::default();
+        let edit = self.usage.get(&k);
+        let usage = edit.map_or(&self.view.usage[k].value, |u| &u.record);
+        let ends = usage.ends.get(&id).unwrap_or(&none);
+        let known = ends.has(a.task.index) || job.record.finished.has(a.task.index);
+        let done = job.record.finished.count_with(ends) + u32::from(!known);
+        let bytes = edit.map_or_else(|| size_of(usage) + SPARE_BYTES, |u| u.bytes);
+        let most = self.limits.part_bytes.min(self.limits.value_bytes);
+        done < job.spec().pieces && bytes + ENTRY_BYTES + (SMALL_JOB / 4) as usize + SPARE_BYTES <= most
+    }
+
     fn finish(&mut self, id: JobId, index: u32) {
         let Some(job) = self.view.jobs.get(&id) else {
             return;
@@ -274,8 +431,8 @@
             self.removed_chunks.insert((id, *n));
             return true;
         }
-        let done = job.record.done();
-        if !self.reserve(None, None, Some(id), &[Key::Own(k)]) {
+        let done = job.done();
+        if !self.reserve(Needs { usage: Some(k), job: Some(id), conditions: &[Key::Own(k)], ..Needs::default() }) {
             return false;
         }
         if let Some(j) = self.jobs.get_mut(&id) {
@@ -285,37 +442,43 @@
     }
 
     /// Books a task.
-    pub fn book(&mut self, k: Slice, m: MachineId, a: Attempt) -> bool {
+    pub fn book(&mut self, m: MachineId, a: Attempt) -> bool {
         let id = a.task.job;
-        let Some(job) = self.view.jobs.get(&id) else {
+        let view = self.view;
+        let (Some(job), Some(at)) = (view.jobs.get(&id), self.home(m)) else {
             return false;
         };
         let spec = job.spec();
-        let job_slice = self.view.job_slice(id, spec);
-        let keys = [Key::Own(job_slice), Key::Job(id)];
-        if !self.reserve(Some(k), Some(job_slice), None, &keys) || !self.grow(k, BOOKING_BYTES + spec.bundle.len()) {
+        let k = view.job_slice(id, spec);
+        let conditions = &[Key::Own(k), Key::Job(id)];
+        let size = GroupRecord::booking_bytes(&a, &spec.bundle, spec.size);
+        if !self.reserve(Needs { groups: &[at], usage: Some(k), job: None, conditions })
+            || !self.grow(at, size, SPARE_BYTES)
+        {
             return false;
         }
-        let Some(r) = self.groups.get_mut(&k).and_then(|g| g.record.machines.get_mut(&m)) else {
+        let Some(r) = self.machine_mut(m) else {
             return false;
         };
         r.tasks.push(Booking::of(a));
-        let cache = self.view.machine_type(&r.build).map_or(0, |t| t.cache);
+        let cache = view.machine_type(&r.build).map_or(0, |t| t.cache);
         r.use_image(&spec.bundle, spec.size, cache);
-        if let Some(u) = self.usage.get_mut(&job_slice) {
-            u.add(&spec.crew, spec.need.cores, spec.need.accelerators);
+        if let Some(u) = self.usage.get_mut(&k) {
+            u.record.add(&spec.crew, spec.need.cores, spec.need.accelerators);
         }
         true
     }
 
     /// Books tasks on a machine in the room of others that are to be stopped there: all or nothing,
     /// since without the others' room the machine would be booked beyond what it has.
-    pub fn book_over(&mut self, k: Slice, m: MachineId, victims: &[Booking], tasks: &[Attempt]) -> bool {
+    pub fn book_over(&mut self, m: MachineId, victims: &[Booking], tasks: &[Attempt]) -> bool {
         let mut trial = self.clone();
-        if !tasks.iter().all(|a| trial.book(k, m, *a)) || !trial.grow(k, BOOKING_BYTES * victims.len()) {
+        let Some(at) = self.home(m) else { return false };
+        let size = GroupRecord::PREEMPTED_BYTES * victims.len();
+        if !tasks.iter().all(|a| trial.book(m, *a)) || !trial.grow(at, size, SPARE_BYTES) {
             return false;
         }
-        let Some(r) = trial.groups.get_mut(&k).and_then(|g| g.record.machines.get_mut(&m)) else { return false };
+        let Some(r) = trial.machine_mut(m) else { return false };
         for v in victims {
             if !r.tasks.contains(v) || r.preempted.contains(v) {
                 return false;
@@ -327,9 +490,9 @@
     }
 
     /// Books all of an indivisible set, or nothing.
-    pub fn book_all(&mut self, set: &[(Slice, MachineId, Attempt)]) -> bool {
+    pub fn book_all(&mut self, set: &[(MachineId, Attempt)]) -> bool {
         let mut trial = self.clone();
-        let all = set.iter().all(|(k, m, a)| trial.book(*k, *m, *a));
+        let all = set.iter().all(|(m, a)| trial.book(*m, *a));
         if all {
             *self = trial;
         }
@@ -337,16 +500,17 @@
     }
 
     /// Removes a machine that is gone for ever; what was booked on it must have been cleared.
-    pub fn remove(&mut self, k: Slice, m: MachineId) -> bool {
-        match self.machine(k, m) {
+    pub fn remove(&mut self, m: MachineId) -> bool {
+        match self.machine(m) {
             None => return true,
             Some(r) if !r.tasks.is_empty() => return false,
             Some(_) => {}
         }
-        if !self.reserve(Some(k), None, None, &[Key::Own(0)]) {
+        let Some(at) = self.home(m) else { return true };
+        if !self.reserve(Needs { groups: &[at], conditions: &[Key::Own(0)], ..Needs::default() }) {
             return false;
         }
-        if let Some(g) = self.groups.get_mut(&k) {
+        if let Some(g) = self.groups.get_mut(&at) {
             g.record.machines.remove(&m);
         }
         true
@@ -368,11 +532,13 @@
             commit.txn.then.push(Put { key: key.clone(), value, permit: None });
             commit.changes.push(Change { key, content, stamp: 0 });
         };
-        for (k, g) in self.groups {
-            put(Key::Group(k), Some(Content::Group(g.record)));
+        for ((k, n), g) in self.groups {
+            // A group without machines is closed, but for the first of a slice: see `add`.
+            let open = n == 0 || !g.record.machines.is_empty();
+            put(Key::Group(k, n), open.then_some(Content::Group(g.record)));
         }
         for (k, u) in self.usage {
-            put(Key::Usage(k), Some(Content::Usage(u)));
+            put(Key::Usage(k), Some(Content::Usage(u.record)));
         }
         for (id, n) in self.removed_chunks {
             put(Key::Chunk(id, n), None);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,7 +25,7 @@
 use crate::protocol::user::{UserAnswer, UserRequest};
 use crate::protocol::worker::{Report, ReportAnswer};
 use budget::Budget;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// The time: by the process's own steady clock, and of day.
@@ -149,8 +149,10 @@
     reader: reader::Reader,
     ownership: ownership::Ownership,
     sessions: BTreeMap<MachineId, sessions::Session>,
-    /// Machines that were removed lately.
-    removed: VecDeque<MachineId>,
+    /// Machines whose workers may have to be sent a direct command.
+    to_command: BTreeSet<MachineId>,
+    /// Machines that were removed lately: those of the highest numbers.
+    removed: BTreeSet<MachineId>,
     rounds: rounds::Rounds,
     users: users::Users,
     fleet: fleet::Fleet,
@@ -177,7 +179,8 @@
             reader: reader::Reader::default(),
             ownership: ownership::Ownership::default(),
             sessions: BTreeMap::new(),
-            removed: VecDeque::new(),
+            to_command: BTreeSet::new(),
+            removed: BTreeSet::new(),
             rounds: rounds::Rounds::default(),
             users: users::Users::default(),
             fleet: fleet::Fleet::default(),
@@ -374,13 +377,13 @@
         if touched.nodes {
             self.ownership.look();
         }
-        for k in &touched.groups {
-            self.on_group_changed(*k);
+        for m in &touched.machines {
+            self.on_machine_changed(*m);
         }
         for j in &touched.jobs {
             self.on_job_changed(*j);
         }
-        if touched.usage || !touched.jobs.is_empty() || !touched.groups.is_empty() || !touched.own.is_empty() {
+        if touched.usage || !touched.jobs.is_empty() || !touched.machines.is_empty() || !touched.own.is_empty() {
             self.rounds.look();
             self.fleet.look();
         }
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -2,7 +2,7 @@
 
 use super::{Controller, Purpose};
 use crate::bookkeeping::ids::Slice;
-use crate::bookkeeping::records::{Key, MetaRecord, NodeRecord, OwnRecord};
+use crate::bookkeeping::records::{Key, LAYOUT, MetaRecord, NodeRecord, OwnRecord};
 use crate::bookkeeping::time::Micros;
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
 use std::collections::BTreeMap;
@@ -162,7 +162,11 @@
             .collect();
         let txn = Txn {
             when: vec![(Key::Meta, 0)],
-            then: vec![Put { key: Key::Meta, value: encode(&MetaRecord { slices, teams }), permit: None }],
+            then: vec![Put {
+                key: Key::Meta,
+                value: encode(&MetaRecord { layout: LAYOUT, slices, teams }),
+                permit: None,
+            }],
         };
         self.budget.force(now, 1);
         self.ask_state(Purpose::Meta, StateRequest::Txn(txn));
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -1,6 +1,7 @@
 //! The watch that keeps the private copy, and read barriers.
 
 use super::{CallId, Controller, Purpose};
+use crate::bookkeeping::records::LAYOUT;
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Touched};
 use crate::protocol::state::{CallError, StateReply, StateRequest};
@@ -20,6 +21,8 @@
     retry: Micros,
     /// Revision of the newest page: reads that end before it leave the copy inconsistent.
     whole_at: u64,
+    /// When it was last said that the records are of another layout.
+    refused: Option<Micros>,
 }
 
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -129,6 +132,9 @@
         };
         let mut touched = Touched::default();
         self.view.apply(items, &mut touched);
+        if self.view.foreign() {
+            return self.refuse_layout();
+        }
         let first = first.unwrap_or(epoch);
         if next.is_some() {
             self.budget.force(self.now.steady, 0);
@@ -142,6 +148,22 @@
         self.reader.next_watch = self.now.steady;
     }
 
+    /// Records of another layout would be misread: they are left alone, and the node stays out of
+    /// service.
+    fn refuse_layout(&mut self) {
+        if self.reader.refused.is_none_or(|at| self.now.steady.since(at) > Micros::secs(60)) {
+            self.reader.refused = Some(self.now.steady);
+            let found = self.view.meta.value.as_ref().map_or(0, |m| m.layout);
+            tracing::error!(
+                found,
+                wanted = LAYOUT,
+                "the state service holds records of another layout, not in service"
+            );
+        }
+        self.reader.phase = Phase::Empty;
+        self.reader.retry = self.now.steady + Micros::secs(5);
+    }
+
     pub(super) fn on_changes(&mut self, id: CallId, sent: Micros, watch: bool, result: Result<StateReply, CallError>) {
         let now = self.now.steady;
         if watch {
@@ -183,6 +205,9 @@
             if epoch < self.reader.whole_at {
                 return;
             }
+            if self.view.foreign() {
+                return self.refuse_layout();
+            }
             self.reader.phase = Phase::Ready;
             tracing::info!(
                 epoch,
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -8,8 +8,8 @@
 use crate::bookkeeping::fleet::{core_price, price_limit};
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice, TaskId};
 use crate::bookkeeping::job::{FinalRecord, JobSpec, Urgency};
-use crate::bookkeeping::placement::{Ask, Claim, Running, Slot, plan, preempt};
-use crate::bookkeeping::records::{Fitness, Key, MachineRecord};
+use crate::bookkeeping::placement::{Ask, Claim, Groups, Running, Slot, plan, preempt};
+use crate::bookkeeping::records::{Fitness, GroupRecord, Key, MachineRecord};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Job, Touched};
 use crate::protocol::settings::ObjectiveKind;
@@ -96,11 +96,6 @@
         self.adds.insert(m);
     }
 
-    /// Whether a machine is about to be added.
-    pub fn adding(&self, m: MachineId) -> bool {
-        self.adds.contains(&m)
-    }
-
     /// A machine is proven gone.
     pub fn gone(&mut self, m: MachineId) {
         self.looking = true;
@@ -161,7 +156,7 @@
 
 impl Controller {
     /// Most claims of one round.
-    const CLAIMS: usize = 96;
+    const CLAIMS: usize = 256;
     /// Most machines on which one round stops tasks for others.
     const TAKEOVERS: usize = 4;
 
@@ -187,18 +182,40 @@
                 return;
             }
         };
-        let limits = Limits { ops, conditions: self.cfg.txn_ops * 4, value_bytes: self.cfg.value_bytes };
+        let limits = Limits {
+            ops,
+            conditions: self.cfg.txn_ops * 4,
+            value_bytes: self.cfg.value_bytes,
+            part_bytes: self.part_bytes(),
+        };
+        self.rounds.next = now + Micros::millis(self.op.round_ms);
         let Some(Drafted { commit, booked, cleared }) = self.draft_round(limits) else {
             self.rounds.looking = false;
             return;
         };
         self.budget.force(now, commit.txn.then.len());
-        self.rounds.next = now + Micros::millis(self.op.round_ms);
         self.rounds.in_flight = true;
         let in_flight = InFlight { changes: commit.changes, ended: commit.ended, booked, cleared };
         self.ask_state(Purpose::Round(Box::new(in_flight)), StateRequest::Txn(commit.txn));
     }
 
+    /// How large a group should become. Every change of it is sent whole to every controller, so at
+    /// the full rate of changes it must be read with a small part of the processor share; within
+    /// that, the larger it is the more changes go out with one write.
+    fn part_bytes(&self) -> usize {
+        /// Bytes of records that a whole core takes in a second, and the part of it to spend.
+        const READ_RATE: f64 = 100e6 * 0.05;
+        let affordable = self.cfg.core_share * READ_RATE / self.cfg.state_write_rps;
+        (affordable as usize).max(4_096).min(self.cfg.value_bytes - self.cfg.value_bytes / 16)
+    }
+
+    /// Bytes that a machine's record takes when the machine is full of the smallest tasks there are.
+    fn full_bytes(&self, build: &str) -> usize {
+        let room = self.view.machine_type(build).map(|t| t.room).unwrap_or_default();
+        let tasks = self.view.jobs.values().map(|j| j.spec().need.times_in(&room, 1_000)).max();
+        GroupRecord::usual_bytes(tasks.unwrap_or(0).max(1))
+    }
+
     fn draft_round(&mut self, limits: Limits) -> Option<Drafted> {
         // What the copy shows as carried out already is not wanted any more.
         let view = &self.view;
@@ -219,36 +236,37 @@
         let mut draft = Draft::new(view, limits);
         let mut cleared = 0;
         for m in &self.rounds.gone {
-            let k = view.machine_slice(*m);
             let Some(r) = view.machine(*m) else { continue };
             let mut all = true;
             for b in &r.tasks {
-                all &= draft.clear(k, *m, b.attempt(), Outcome::Again, 0);
+                all &= draft.clear(*m, b.attempt(), Outcome::Again, 0);
                 cleared += 1;
             }
             if all {
-                draft.remove(k, *m);
+                draft.remove(*m);
             }
         }
         for ((m, a), outcome) in &self.rounds.clears {
-            let k = view.machine_slice(*m);
-            if draft.clear(k, *m, *a, *outcome, k) {
+            if draft.clear(*m, *a, *outcome, view.machine_slice(*m)) {
                 cleared += 1;
             }
         }
         for (m, mark) in &self.rounds.marks {
-            let k = view.machine_slice(*m);
-            draft.mark(k, *m, *mark, k);
+            draft.mark(*m, *mark, view.machine_slice(*m));
         }
-        for m in &self.rounds.adds {
-            let k = view.machine_slice(*m);
-            if let Some(s) = self.sessions.get(m) {
-                draft.add(k, *m, s.record());
+        if !self.rounds.adds.is_empty() {
+            let types = view.types.value.iter().flat_map(|c| &c.types);
+            let full: BTreeMap<&str, usize> = types.map(|t| (t.name.as_str(), self.full_bytes(&t.name))).collect();
+            for m in &self.rounds.adds {
+                if let Some(s) = self.sessions.get(m) {
+                    let full = |build: &str| full.get(build).copied().unwrap_or(0);
+                    draft.add(view.machine_slice(*m), *m, s.record(), &full);
+                }
             }
         }
         for m in &self.rounds.releasing {
             let mark = Mark { fitness: Fitness::Releasing, dead: 0 };
-            draft.mark(view.machine_slice(*m), *m, mark, 0);
+            draft.mark(*m, mark, 0);
         }
         let ended: Vec<JobId> = view
             .jobs
@@ -272,22 +290,39 @@
             return Vec::new();
         }
         let mut asks = self.asks(jobs, draft);
+        let owners = self.owner_numbers();
+        let mut groups = Groups::default();
+        let mut numbers = BTreeMap::new();
         // By copy: the draft's machines borrow from the draft, which the bookings then change.
-        let machines: Vec<(Slice, MachineId, Amount)> = draft
+        let machines: Vec<(Slice, usize, MachineId, Amount)> = draft
             .machines()
             .filter(|(_, _, r)| r.fitness == Fitness::Up)
-            .map(|(k, m, r)| (k, m, self.view.free(r)))
+            .map(|(at, m, r)| {
+                let group = *numbers.entry(at).or_insert_with(|| {
+                    groups.open.push(draft.writes_group(at));
+                    groups.open.len() - 1
+                });
+                (at.0, group, m, self.view.free(r))
+            })
             .collect();
-        let may_preempt = asks.iter().any(|a| a.mine && a.preempts);
+        let mut slices: Vec<Slice> = asks.iter().filter(|a| a.mine).map(|a| a.owner).collect();
+        slices.sort_unstable();
+        slices.dedup();
+        let usages = slices.iter().filter(|k| !draft.writes_usage(**k)).count();
+        groups.left = draft.ops_left().saturating_sub(usages);
+        for a in &mut asks {
+            a.owner = owners[a.owner];
+        }
         let mut slots: Vec<Slot<'_>> = machines
             .into_iter()
-            .filter_map(|(k, m, free)| {
+            .filter_map(|(k, group, machine, free)| {
                 // A machine that the draft adds is planned on in the next round.
-                let r = self.view.groups[k].value.machines.get(&m)?;
+                let r = self.view.machine(machine)?;
                 let t = self.view.machine_type(&r.build)?;
                 Some(Slot {
-                    slice: k,
-                    machine: m,
+                    machine,
+                    group,
+                    owner: owners[k],
                     build: &r.build,
                     yard: &r.yard,
                     spot: r.spot,
@@ -295,31 +330,31 @@
                     all: t.room,
                     free,
                     kept: false,
-                    images: r.images.iter().map(|(n, _)| n.as_str()).collect(),
-                    running: if may_preempt { self.running(r, draft.machine(k, m)) } else { Vec::new() },
+                    images: &r.images,
+                    fetches: None,
+                    running: Vec::new(),
                 })
             })
             .collect();
-        let claims = plan(&mut slots, &mut asks, Self::CLAIMS);
+        let claims = plan(&mut slots, &mut asks, &mut groups, Self::CLAIMS);
         let number = self.view.latest;
         let attempt = |c: &Claim| Attempt { task: TaskId { job: c.job, index: c.index }, number };
-        let mut taken = Vec::new();
-        if may_preempt {
-            for t in preempt(&mut slots, &asks, &claims, Self::TAKEOVERS) {
+        let mut booked = Vec::new();
+        if asks.iter().any(|a| a.mine && a.preempts) {
+            let running = |m| self.view.machine(m).map_or(Vec::new(), |r| self.running(r, draft.machine(m)));
+            for t in preempt(&mut slots, &asks, &claims, Self::TAKEOVERS, &running) {
                 let tasks: Vec<Attempt> = t.claims.iter().map(attempt).collect();
-                if draft.book_over(t.slice, t.machine, &t.victims, &tasks) {
+                if draft.book_over(t.machine, &t.victims, &tasks) {
                     for v in &t.victims {
                         tracing::info!(task = %v.attempt(), machine = %t.machine, by = %t.claims[0].job, "preempting");
                     }
-                    taken.extend(t.claims.iter().map(|c| (*c, number)));
+                    booked.extend(t.claims.iter().map(|c| (*c, number)));
                 }
             }
         }
         let whole: BTreeSet<JobId> = asks.iter().filter(|a| a.whole).map(|a| a.job).collect();
-        let mut booked = taken;
         for of_job in claims.chunk_by(|a, b| a.job == b.job) {
-            let set: Vec<(Slice, MachineId, Attempt)> =
-                of_job.iter().map(|c| (c.slice, c.machine, attempt(c))).collect();
+            let set: Vec<(MachineId, Attempt)> = of_job.iter().map(|c| (c.machine, attempt(c))).collect();
             if whole.contains(&of_job[0].job) {
                 if draft.book_all(&set) {
                     booked.extend(of_job.iter().map(|c| (*c, number)));
@@ -329,8 +364,8 @@
                 }
                 continue;
             }
-            for (c, (k, m, a)) in of_job.iter().zip(set) {
-                if draft.book(k, m, a) {
+            for (c, (m, a)) in of_job.iter().zip(set) {
+                if draft.book(m, a) {
                     booked.push((*c, number));
                 }
             }
@@ -338,6 +373,14 @@
         booked
     }
 
+    /// A number for each slice that is the same for slices of one owner.
+    fn owner_numbers(&self) -> Vec<usize> {
+        let owner = |k: Slice| self.view.own[k].value.as_ref().map(|o| &o.node);
+        (0..self.view.own.len())
+            .map(|k| (0..k).find(|j| owner(*j).is_some() && owner(*j) == owner(k)).unwrap_or(k))
+            .collect()
+    }
+
     /// What the jobs ask for, as far as their teams' limits let them.
     fn asks<'a>(&'a self, jobs: Vec<(JobId, &'a Job)>, draft: &Draft<'_>) -> Vec<Ask<'a>> {
         let mut asks: Vec<Ask<'a>> = Vec::new();
@@ -384,9 +427,10 @@
                 job: id,
                 spec,
                 tasks,
-                zones: self.zones_of(id),
+                zones: if spec.one_zone || spec.apart { self.zones_of(id) } else { BTreeMap::new() },
                 most,
                 price_limit: self.price_limit(job),
+                owner: k,
                 mine,
                 preempts: self.preempts(job),
                 guaranteed: team.is_some_and(|t| t.has_share()) && !self.borrows(job, k),
@@ -442,7 +486,7 @@
         let mut zones = BTreeMap::new();
         for p in self.view.booked(id).into_iter().flat_map(|b| b.values()) {
             if let Some(r) = self.view.machine(p.machine) {
-                *zones.entry(r.yard.as_str()).or_default() += 1;
+                *zones.entry(&*r.yard).or_default() += 1;
             }
         }
         zones
@@ -507,7 +551,7 @@
 
     /// A job that fails wherever it runs is retried ever more slowly.
     fn backing_off(&self, id: JobId, job: &Job) -> bool {
-        let failures = job.record.errors.saturating_sub(job.record.done());
+        let failures = job.record.errors.saturating_sub(job.done());
         if failures < 4 {
             return false;
         }
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -101,10 +101,10 @@
     /// The record of a machine that is heard for the first time.
     pub fn record(&self) -> MachineRecord {
         MachineRecord {
-            build: self.build.clone(),
-            yard: self.yard.clone(),
+            build: self.build.as_str().into(),
+            yard: self.yard.as_str().into(),
             spot: self.spot,
-            endpoint: self.endpoint.clone(),
+            endpoint: self.endpoint.parse().ok(),
             fitness: Fitness::Up,
             dead: self.refused,
             images: Vec::new(),
@@ -145,18 +145,18 @@
     const SILENCE_MARGIN: Micros = Micros::millis(400);
     const DIRECT_LIMIT: Micros = Micros::millis(2_500);
     /// Removed machines that are remembered.
-    const REMOVED: usize = 128;
+    const REMOVED: usize = 4_096;
 
     pub(super) fn begin_sessions(&mut self, k: Slice) {
         self.end_sessions(k);
-        let machines: Vec<(MachineId, Session)> = self.view.groups[k]
-            .value
-            .machines
-            .iter()
+        let machines: Vec<(MachineId, Session)> = self
+            .view
+            .machines_of(k)
             .map(|(m, r)| {
-                let mut s = Session::new(&r.endpoint, &r.build, &r.yard, r.spot);
+                let endpoint = r.endpoint.map(|e| e.to_string()).unwrap_or_default();
+                let mut s = Session::new(&endpoint, &r.build, &r.yard, r.spot);
                 s.refused = r.dead;
-                (*m, s)
+                (m, s)
             })
             .collect();
         self.sessions.extend(machines);
@@ -278,7 +278,7 @@
         let Some(s) = self.sessions.get_mut(&machine) else {
             return orders;
         };
-        let record = self.view.groups[k].value.machines.get(&machine);
+        let record = self.view.machine(machine);
         let booked = record.map_or(&[][..], |r| &r.tasks);
         let preempted = record.map_or(&[][..], |r| &r.preempted);
         let fitness = record.map_or(Fitness::Up, |r| r.fitness);
@@ -361,7 +361,7 @@
                 if in_answer {
                     orders.push(Order::Launch(a));
                 } else {
-                    s.wants_direct = true;
+                    self.to_command.insert(machine);
                     s.launched.remove(&a);
                 }
             } else if in_answer && s.heard {
@@ -377,37 +377,27 @@
         orders
     }
 
-    pub(super) fn on_group_changed(&mut self, k: Slice) {
-        if !self.owns(k) {
+    pub(super) fn on_machine_changed(&mut self, m: MachineId) {
+        if !self.owns(self.view.machine_slice(m)) {
             return;
         }
-        let group = &self.view.groups[k].value;
-        for (m, r) in &group.machines {
-            let Some(s) = self.sessions.get_mut(m) else {
-                continue;
-            };
-            if !r.preempted.is_empty() || r.tasks.iter().any(|b| !s.launched.contains(&b.attempt())) {
-                s.wants_direct = true;
-            }
-
-            s.launched.retain(|a| r.tasks.contains(&Booking::of(*a)));
-        }
-        // A late report of a machine that was removed must not bring it back.
-        let gone: Vec<MachineId> = self
-            .sessions
-            .keys()
-            .filter(|m| self.view.machine_slice(**m) == k && !group.machines.contains_key(m))
-            .copied()
-            .collect();
-        for m in gone {
-            // Removed by the fleet, or not added yet.
-            if self.rounds.adding(m) {
-                continue;
+        let Some(s) = self.sessions.get_mut(&m) else {
+            return;
+        };
+        match self.view.machine(m) {
+            Some(r) => {
+                if !r.preempted.is_empty() || r.tasks.iter().any(|b| !s.launched.contains(&b.attempt())) {
+                    self.to_command.insert(m);
+                }
+                s.launched.retain(|a| r.tasks.contains(&Booking::of(*a)));
             }
-            self.sessions.remove(&m);
-            self.removed.push_back(m);
-            if self.removed.len() > Self::REMOVED {
-                self.removed.pop_front();
+            // A late report of a machine that was removed must not bring it back.
+            None => {
+                self.sessions.remove(&m);
+                self.removed.insert(m);
+                if self.removed.len() > Self::REMOVED {
+                    self.removed.pop_first();
+                }
             }
         }
     }
@@ -427,30 +417,30 @@
         let machines: Vec<MachineId> =
             self.view.booked(job).into_iter().flat_map(|tasks| tasks.values().map(|p| p.machine)).collect();
         for m in machines {
-            if let Some(s) = self.sessions.get_mut(&m) {
-                s.wants_direct = true;
-            }
+            self.to_command.insert(m);
         }
     }
 
     pub(super) fn pump_sessions(&mut self) {
         let now = self.now.steady;
-        let ready: Vec<MachineId> =
-            self.sessions.iter().filter(|(_, s)| s.wants_direct && s.direct.is_none()).map(|(m, _)| *m).collect();
-        for m in ready {
+        for m in std::mem::take(&mut self.to_command) {
             let k = self.view.machine_slice(m);
             let contact = self.contact_age();
             let Some(s) = self.sessions.get_mut(&m) else {
                 continue;
             };
-            s.wants_direct = false;
+            if s.direct.is_some() {
+                // Looked at again when that command is answered or given up.
+                s.wants_direct = true;
+                continue;
+            }
             // A worker that was not heard lately is told by the answer to its next report.
             let lately = self.cfg.report * 2 + Micros::millis(500);
             let heard = s.answered.is_some_and(|t| now.since(t) < lately);
             if !heard || s.order.0 <= s.refused || contact > Micros::secs(4) {
                 continue;
             }
-            let Some(record) = self.view.groups[k].value.machines.get(&m) else {
+            let Some(record) = self.view.machine(m) else {
                 continue;
             };
             let mut orders = Vec::new();
@@ -501,6 +491,9 @@
         let Some(direct) = s.direct.take_if(|d| d.call == call) else {
             return;
         };
+        if std::mem::take(&mut s.wants_direct) {
+            self.to_command.insert(machine);
+        }
         let Some((executed, report)) = result else {
             // It may be held somewhere and carried out much later.
             if s.unsettled.is_empty() {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -89,7 +89,7 @@
             (false, 0) => JobStatus::Queued,
             _ => JobStatus::Running,
         };
-        Some(JobAnswer { id, status, done: job.record.done(), running })
+        Some(JobAnswer { id, status, done: job.done(), running })
     }
 
     /// Why a job could never run; `None` also while that is not known.
@@ -325,7 +325,7 @@
                 if let Some(job) = self.view.jobs.get(&w.id) {
                     let mut record = job.record.clone();
                     record.cancelled = true;
-                    answer.done = record.done();
+                    answer.done = job.done();
                     let change =
                         Change { key: Key::Job(w.id), content: Some(Content::Job(Box::new(record))), stamp: epoch };
                     let mut touched = Touched::default();
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -236,7 +236,7 @@
         Key::Fleet => Content::Fleet(serde_json::from_str(text).ok()?),
         Key::Node(_) => Content::Node(serde_json::from_str(text).ok()?),
         Key::Own(_) => Content::Own(serde_json::from_str(text).ok()?),
-        Key::Group(_) => Content::Group(serde_json::from_str(text).ok()?),
+        Key::Group(..) => Content::Group(serde_json::from_str(text).ok()?),
         Key::Usage(_) => Content::Usage(serde_json::from_str(text).ok()?),
         Key::Job(_) => Content::Job(serde_json::from_str(text).ok()?),
         Key::Chunk(..) => Content::Chunk(serde_json::from_str(text).ok()?),
