Few large rounds, unused shares of the rate lent, one slice a controller

Cause: at full size the changes a second are the limit; rounds of four changes carried few tasks. A round may now be as large as a transaction and is paid for by the time until the next; controllers tell each other what they spend and use what the others leave. Rentals are split, and none is forgotten because the fleet's record is full.

--- a/src/bookkeeping/group.rs
+++ b/src/bookkeeping/group.rs
@@ -90,7 +90,7 @@
     }
 
     /// What the address adds to the machine's number; the same for most machines of a cloud.
-    fn address(&self, id: MachineId) -> Option<(u16, i64)> {
+    fn address(&self, id: MachineId) -> Address {
         let at = self.endpoint?;
         let id = i64::try_from(id.0).ok()?;
         Some((at.port(), i64::from(u32::from(*at.ip())).checked_sub(id)?))
@@ -133,7 +133,8 @@
 }
 
 /// Type, zone, spot (0 or 1), and port and offset of the address.
-type Kind = (String, String, u8, Option<(u16, i64)>);
+type Kind = (String, String, u8, Address);
+type Address = Option<(u16, i64)>;
 
 #[derive(Serialize, Deserialize)]
 struct Wire<'a> {
@@ -208,8 +209,8 @@
     /// `None` if a number refers to nothing.
     fn record(self) -> Option<GroupRecord> {
         let images: Vec<(Arc<str>, u64)> = self.i.iter().map(|(n, s)| (Arc::from(&**n), *s)).collect();
-        let kinds: Vec<(Arc<str>, Arc<str>, bool, Option<(u16, i64)>)> =
-            self.k.into_iter().map(|(b, y, s, e)| (b.into(), y.into(), s == 1, e)).collect();
+        let shared = |(b, y, s, e): Kind| -> (Arc<str>, Arc<str>, bool, Address) { (b.into(), y.into(), s == 1, e) };
+        let kinds: Vec<_> = self.k.into_iter().map(shared).collect();
         let attempts = self.a;
         let booking = |attempt: u64, index: u64| {
             let (job, number) = attempts.get(usize::try_from(attempt).ok()?)?;
--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -31,6 +31,10 @@
     requests: Bucket,
     writes: Bucket,
     at: Micros,
+    /// This controller's even share of the changes a second.
+    even: f64,
+    /// Changes spent since they were last told to the peers, and when that was.
+    spent: (f64, Micros),
 }
 
 impl Budget {
@@ -41,9 +45,28 @@
             requests: Bucket::new(requests * 0.97),
             writes: Bucket::new(writes * 0.97),
             at: Micros::ZERO,
+            even: writes * 0.97,
+            spent: (0.0, Micros::ZERO),
         }
     }
 
+    /// Changes a second since this was last asked.
+    pub fn spending(&mut self, now: Micros) -> f64 {
+        let (spent, since) = std::mem::replace(&mut self.spent, (0.0, now));
+        let span = now.since(since).as_secs_f64();
+        if span > 0.0 { spent / span } else { 0.0 }
+    }
+
+    /// What the others leave of their shares, by what they said that they spend: `None` for one
+    /// that said nothing lately. This is only a matter of speed. Who turns out to have taken too
+    /// much is refused, and tries again later.
+    pub fn lend(&mut self, now: Micros, others: impl Iterator<Item = Option<f64>>) {
+        self.bring_forward(now);
+        // Room for a peer to spend a little more before its next word of it.
+        let unused = others.map(|o| o.map_or(0.0, |spends| (self.even - spends * 1.25 - 0.5).max(0.0)));
+        self.writes.rate = self.even + unused.sum::<f64>();
+    }
+
     fn bring_forward(&mut self, now: Micros) {
         let span = now.since(self.at);
         self.at = self.at.max(now);
@@ -51,32 +74,28 @@
         self.writes.fill(span);
     }
 
-    /// Spends one request with `writes` changes if that leaves `reserve` of both buckets (0 to 1).
-    /// Otherwise tells when to ask again.
+    /// Spends one request with `writes` changes if that leaves `reserve` of both buckets (to 1; below
+    /// zero it may be overdrawn by as much). Otherwise tells when to ask again.
     pub fn spend(&mut self, now: Micros, writes: usize, reserve: f64) -> Result<(), Micros> {
         self.bring_forward(now);
-        let writes = writes as f64;
         let need_requests = 1.0 + reserve * self.requests.most;
-        let need_writes = if writes > 0.0 { writes + reserve * self.writes.most } else { 0.0 };
-        let wait = self.requests.wait(need_requests).max(self.writes.wait(need_writes));
+        let need_writes = writes as f64 + reserve * self.writes.most;
+        let wait_writes = if writes > 0 { self.writes.wait(need_writes) } else { Micros::ZERO };
+        let wait = self.requests.wait(need_requests).max(wait_writes);
         if wait > Micros::ZERO {
             return Err(now + wait.max(Micros::millis(1)));
         }
-        self.requests.level -= 1.0;
-        self.writes.level -= writes;
+        self.force(now, writes);
         Ok(())
     }
 
-    /// Changes that may be spent at once beside `reserve`, if they are at least `least`; otherwise
-    /// when to ask again.
-    pub fn writes_left(&mut self, now: Micros, reserve: usize, least: usize) -> Result<usize, Micros> {
+    /// Whether a round may be made now, of whatever size: a large one is paid for by the time until
+    /// the next, for a few large rounds do more with the same changes than many small ones.
+    /// Otherwise tells when to ask again.
+    pub fn round(&mut self, now: Micros) -> Result<(), Micros> {
         self.bring_forward(now);
-        let need = ((reserve + least) as f64).min(self.writes.most);
-        let wait = self.requests.wait(2.0).max(self.writes.wait(need));
-        if wait > Micros::ZERO {
-            return Err(now + wait.max(Micros::millis(1)));
-        }
-        Ok((self.writes.level - reserve as f64).max(least as f64) as usize)
+        let wait = self.requests.wait(2.0).max(self.writes.wait(2.0));
+        if wait > Micros::ZERO { Err(now + wait.max(Micros::millis(1))) } else { Ok(()) }
     }
 
     /// Spends whatever is there: for what must not wait.
@@ -84,6 +103,7 @@
         self.bring_forward(now);
         self.requests.level -= 1.0;
         self.writes.level -= writes as f64;
+        self.spent.0 += writes as f64;
     }
 
     /// The service refused for its rate: somebody spends more than was thought.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -199,23 +199,34 @@
         let old = self.cfg.list_lag * 4 + Micros::secs(60);
         record.hires.retain(|h| self.now.day.since(h.at) < old);
         let mut new = Vec::new();
-        for (offer, count) in hires {
-            self.fleet.counter += 1;
-            new.push(HireRecord {
-                // Never used again, not even by another process or after a restart.
-                name: format!("{}-{:016x}-{}", self.cfg.node, self.run.0, self.fleet.counter),
-                build: offer.build,
-                yard: offer.yard,
-                spot: offer.spot,
-                count: count.min(HIRE_LIMIT),
-                at: self.now.day,
-            });
+        // A rental must not be forgotten before it is known what came of it: while the record is
+        // full of such, nothing more is hired.
+        let most = self.cfg.value_bytes - self.cfg.value_bytes / 8;
+        let mut size = encode(&record).map_or(usize::MAX, |r| r.get().len());
+        'all: for (offer, mut count) in hires {
+            while count > 0 {
+                self.fleet.counter += 1;
+                let hire = HireRecord {
+                    // Never used again, not even by another process or after a restart.
+                    name: format!("{}-{:016x}-{}", self.cfg.node, self.run.0, self.fleet.counter),
+                    build: offer.build.clone(),
+                    yard: offer.yard.clone(),
+                    spot: offer.spot,
+                    count: count.min(HIRE_LIMIT),
+                    at: self.now.day,
+                };
+                size += encode(&hire).map_or(0, |r| r.get().len() + 1);
+                if size > most || new.len() >= self.cfg.cloud_rps as usize {
+                    break 'all;
+                }
+                count -= hire.count;
+                new.push(hire);
+            }
         }
-        record.hires.extend(new.iter().cloned());
-        if record.hires.len() > 24 {
-            let over = record.hires.len() - 24;
-            record.hires.drain(..over);
+        if new.is_empty() {
+            return;
         }
+        record.hires.extend(new.iter().cloned());
         self.write_fleet(record, new);
     }
 
@@ -476,8 +487,9 @@
         self.fleet.idle = seen_idle;
         self.fleet.lost = seen_lost;
         for (m, why) in marks {
-            tracing::info!(machine = %m, why, "returning");
-            self.rounds.releasing(m);
+            if self.rounds.releasing(m) {
+                tracing::info!(machine = %m, why, "returning");
+            }
         }
         for (m, k) in &self.fleet.known {
             let age = now.since(k.since);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -300,7 +300,13 @@
                 contact_ms: contact,
                 epoch: self.view.epoch,
                 terms,
+                spends: (self.budget.spending(self.now.steady) * 1e3) as u64,
             }));
+            let lately = |(heard, hint): &(Micros, PeerHint)| {
+                (self.now.steady.since(*heard) < Micros::secs(3)).then_some(hint.spends as f64 / 1e3)
+            };
+            let others = self.cfg.others.iter().map(|o| self.peers.get(&o.node).and_then(lately));
+            self.budget.lend(self.now.steady, others);
         }
         self.wake_at(self.next_hint);
     }
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -151,15 +151,11 @@
             return;
         }
         self.ownership.meta_at = now + Micros::millis(500);
-        let slices = self.op.slices;
-        let teams: BTreeMap<String, Slice> = self
-            .cfg
-            .teams
-            .iter()
-            .filter(|t| t.has_share())
-            .enumerate()
-            .map(|(i, t)| (t.name.clone(), i % slices))
-            .collect();
+        let shares: Vec<&str> = self.cfg.teams.iter().filter(|t| t.has_share()).map(|t| t.name.as_str()).collect();
+        // Each slice is one more record in many rounds, so there are no more than spread the work.
+        let slices = self.op.slices.unwrap_or(self.cfg.controllers().max(shares.len()).clamp(1, 64));
+        let teams: BTreeMap<String, Slice> =
+            shares.into_iter().enumerate().map(|(i, t)| (t.to_owned(), i % slices)).collect();
         let txn = Txn {
             when: vec![(Key::Meta, 0)],
             then: vec![Put {
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -54,8 +54,6 @@
     hold_epoch: u64,
     /// No planning before a read that began after this call.
     hold_call: Option<u64>,
-    /// Changes that the next round must have to spend; more when an indivisible set waits.
-    least: std::cell::Cell<usize>,
     /// When a job's tasks last failed, and how often they had by then.
     failed: BTreeMap<JobId, (u32, Micros)>,
 }
@@ -102,10 +100,10 @@
         self.gone.insert(m);
     }
 
-    /// Wants a machine marked before it is returned.
-    pub fn releasing(&mut self, m: MachineId) {
+    /// Wants a machine marked before it is returned; false if that was wanted already.
+    pub fn releasing(&mut self, m: MachineId) -> bool {
         self.looking = true;
-        self.releasing.insert(m);
+        self.releasing.insert(m)
     }
 
     /// Drops what the owner of these machines wanted: it is not this process any more.
@@ -172,16 +170,11 @@
         if self.view.types.value.is_none() || self.view.slices() == 0 {
             return;
         }
-        // Enough for a small round, beside what submissions and cancellations may need meanwhile.
-        let least = self.rounds.least.replace(0).max(4);
-        let ops = match self.budget.writes_left(now, 2, least) {
-            Ok(n) => n.min(self.cfg.txn_ops),
-            Err(at) => {
-                self.rounds.least.set(least);
-                self.wake_at(at);
-                return;
-            }
-        };
+        if let Err(at) = self.budget.round(now) {
+            self.wake_at(at);
+            return;
+        }
+        let ops = self.cfg.txn_ops;
         let limits = Limits {
             ops,
             conditions: self.cfg.txn_ops * 4,
@@ -358,9 +351,6 @@
             if whole.contains(&of_job[0].job) {
                 if draft.book_all(&set) {
                     booked.extend(of_job.iter().map(|c| (*c, number)));
-                } else {
-                    // It waits for a round that has the room for all of it.
-                    self.rounds.least.set(self.cfg.txn_ops);
                 }
                 continue;
             }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -74,6 +74,8 @@
 
 impl Controller {
     const LATER: UserAnswer = UserAnswer::Later(1);
+    /// Users go before rounds: their requests are few, and may overdraw what a round has left.
+    const USERS: f64 = -1.0;
     /// Contact older than this means that a request could not be decided in time.
     const BLIND: Micros = Micros::millis(4_500);
 
@@ -171,7 +173,7 @@
     pub(super) fn pump_users(&mut self) {
         let now = self.now.steady;
         while let Some(w) = self.users.aborts.pop() {
-            if let Err(at) = self.budget.spend(now, 1, 0.0) {
+            if let Err(at) = self.budget.spend(now, 1, Self::USERS) {
                 self.users.aborts.push(w);
                 self.wake_at(at);
                 return;
@@ -180,7 +182,7 @@
         }
         while !self.users.submits.is_empty() {
             let n = self.users.submits.len().min(self.cfg.txn_ops);
-            if let Err(at) = self.budget.spend(now, n.min(4), 0.0) {
+            if let Err(at) = self.budget.spend(now, n.min(4), Self::USERS) {
                 self.wake_at(at);
                 return;
             }
--- a/src/protocol/operator.rs
+++ b/src/protocol/operator.rs
@@ -8,9 +8,10 @@
 #[serde(deny_unknown_fields, default)]
 pub struct OperatorSettings {
     /// Number of slices that jobs and machines are divided into when a deployment first starts.
-    /// Later starts take the number that the state service keeps.
+    /// Later starts take the number that the state service keeps. Absent: one for each controller,
+    /// or for each team with a guarantee or a limit if these are more.
     #[schemars(range(min = 1, max = 64))]
-    pub slices: usize,
+    pub slices: Option<usize>,
     /// Shortest time between two rounds of one controller, in milliseconds.
     #[schemars(range(min = 10, max = 10_000))]
     pub round_ms: u64,
@@ -25,7 +26,7 @@
 
 impl Default for OperatorSettings {
     fn default() -> Self {
-        OperatorSettings { slices: 6, round_ms: 150, node_lease_ms: 2_000, idle_s: None }
+        OperatorSettings { slices: None, round_ms: 150, node_lease_ms: 2_000, idle_s: None }
     }
 }
 
@@ -36,7 +37,7 @@
         let check = |field: &str, ok: bool, range: &str| {
             if ok { Ok(()) } else { Err(format!("{field}: must be {range}")) }
         };
-        check("slices", (1..=64).contains(&s.slices), "1 to 64")?;
+        check("slices", s.slices.is_none_or(|n| (1..=64).contains(&n)), "1 to 64")?;
         check("round_ms", (10..=10_000).contains(&s.round_ms), "10 to 10000")?;
         check("node_lease_ms", (1_000..=60_000).contains(&s.node_lease_ms), "1000 to 60000")?;
         check("idle_s", s.idle_s.is_none_or(|t| (1.0..=86_400.0).contains(&t)), "1 to 86400")?;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -16,4 +16,7 @@
     pub epoch: u64,
     /// Terms of all slices as its copy has them, by slice, and whether it owns them.
     pub terms: Vec<(u64, bool)>,
+    /// Changes a second that it spends at the state service, in thousandths.
+    #[serde(default)]
+    pub spends: u64,
 }
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -160,6 +160,7 @@
     users: Vec<User>,
     faults: Vec<Fault>,
     refused: Vec<(usize, u64)>,
+    throttled: Vec<(usize, u64)>,
     pub check: Checker,
     counters: Counters,
     takeovers: u64,
@@ -183,7 +184,7 @@
         "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"},
         "params": {"teams": teams, "objectives": [],
             "workers": {"report_s": s.report, "lease_s": s.lease, "cancel_s": s.cancel},
-            "state": {"rps": 120, "write_rps": 60, "value_kb": s.value_kb, "txn_ops": 12},
+            "state": {"rps": s.rates.0, "write_rps": s.rates.1, "value_kb": s.value_kb, "txn_ops": 12},
             "cloud": {"rps": 10, "list_lag_s": s.lag},
             "quota": {"core_share": 0.1, "ram_mb": 40, "max_connections": 600}, "clock_error_ms": 200},
     });
@@ -205,7 +206,7 @@
             rng: StdRng::seed_from_u64(script.seed),
             nodes: (0..script.nodes).map(|_| None).collect(),
             lives: 0,
-            state: state::State::new(12, (script.value_kb * 1024.0) as usize),
+            state: state::State::new(12, (script.value_kb * 1024.0) as usize, script.rates),
             cloud: cloud::Cloud::new(script.types.clone(), (script.lag * 1e6) as u64),
             workers: BTreeMap::new(),
             infos: BTreeMap::new(),
@@ -213,6 +214,7 @@
             users: Vec::new(),
             faults: Vec::new(),
             refused: Vec::new(),
+            throttled: Vec::new(),
             check,
             counters: Counters::default(),
             takeovers: 0,
@@ -244,7 +246,8 @@
     fn start(&mut self, n: usize) {
         self.lives += 1;
         let seed = self.rng.random();
-        let controller = Controller::new(Arc::clone(&self.settings[n]), OperatorSettings::default(), seed);
+        let operator = OperatorSettings { slices: self.script.slices, ..OperatorSettings::default() };
+        let controller = Controller::new(Arc::clone(&self.settings[n]), operator, seed);
         self.nodes[n] = Some(Node {
             controller,
             life: self.lives,
@@ -451,8 +454,11 @@
         let answer = match &ask {
             Ask::State(request) => {
                 let (method, path, body) = state_wire::http(request);
-                if self.refused.iter().any(|(n, until)| *n == node && now < *until) {
+                let refused = |list: &[(usize, u64)]| list.iter().any(|(n, until)| *n == node && now < *until);
+                if refused(&self.refused) {
                     Some((503, json!({})))
+                } else if refused(&self.throttled) {
+                    Some((429, json!({})))
                 } else {
                     // Watches are told apart by the order in which they are kept.
                     self.order += 1;
@@ -804,6 +810,7 @@
             Step::Outage { party: Party::Cloud, span } => self.cloud.out_until = now + span,
             Step::Outage { party, .. } => panic!("{party:?} has no outages"),
             Step::Refuse { node, span } => self.refused.push((node, now + span)),
+            Step::Throttle { node, span } => self.throttled.push((node, now + span)),
             Step::Hang { party, span } => match party {
                 Party::Machine(m) => {
                     if let Some(w) = self.workers.get_mut(&m) {
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -52,16 +52,53 @@
 
 #[derive(Clone, Debug)]
 pub enum Step {
-    Submit { job: u64, fields: BTreeMap<String, String>, node: Option<usize> },
-    Abort { job: u64, node: Option<usize> },
-    Query { job: u64, node: Option<usize> },
-    Crash { node: Option<usize>, down: u64 },
-    Cut { a: Party, b: Party, mode: Mode, span: u64 },
-    Outage { party: Party, span: u64 },
-    Refuse { node: usize, span: u64 },
-    Hang { party: Party, span: u64 },
-    Take { machine: u64, notice: u64 },
-    Faulty { machine: u64 },
+    Submit {
+        job: u64,
+        fields: BTreeMap<String, String>,
+        node: Option<usize>,
+    },
+    Abort {
+        job: u64,
+        node: Option<usize>,
+    },
+    Query {
+        job: u64,
+        node: Option<usize>,
+    },
+    Crash {
+        node: Option<usize>,
+        down: u64,
+    },
+    Cut {
+        a: Party,
+        b: Party,
+        mode: Mode,
+        span: u64,
+    },
+    Outage {
+        party: Party,
+        span: u64,
+    },
+    Refuse {
+        node: usize,
+        span: u64,
+    },
+    /// The state service refuses one controller for its rate.
+    Throttle {
+        node: usize,
+        span: u64,
+    },
+    Hang {
+        party: Party,
+        span: u64,
+    },
+    Take {
+        machine: u64,
+        notice: u64,
+    },
+    Faulty {
+        machine: u64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,6 +137,9 @@
     pub cancel: f64,
     pub lag: f64,
     pub value_kb: f64,
+    pub slices: Option<usize>,
+    /// Requests and changes a second that the state service takes.
+    pub rates: (f64, f64),
     pub chaos: u32,
     pub load: u32,
     pub teams: Vec<(String, f64, f64)>,
@@ -169,6 +209,8 @@
             cancel: 35.0,
             lag: 4.0,
             value_kb: 16.0,
+            slices: None,
+            rates: (120.0, 60.0),
             chaos: 0,
             load: 0,
             teams: Vec::new(),
@@ -203,6 +245,11 @@
             "cancel" => self.cancel = w.word(1, real)?,
             "lag" => self.lag = w.word(1, real)?,
             "value_kb" => self.value_kb = w.word(1, real)?,
+            "slices" => self.slices = Some(w.word(1, whole)? as usize),
+            "rates" => {
+                self.rates = (w.need("requests", real)?, w.need("changes", real)?);
+                plain = 1;
+            }
             "chaos" => self.chaos = w.word(1, whole)? as u32,
             "load" => self.load = w.word(1, whole)? as u32,
             "team" => {
@@ -309,6 +356,7 @@
         }
         "outage" => (Step::Outage { party: w.word(3, Party::parse)?, span: w.need("for", micros)? }, 4),
         "refuse" => (Step::Refuse { node: w.word(3, node)?, span: w.need("for", micros)? }, 4),
+        "throttle" => (Step::Throttle { node: w.word(3, node)?, span: w.need("for", micros)? }, 4),
         "hang" => (Step::Hang { party: w.word(3, Party::parse)?, span: w.need("for", micros)? }, 4),
         "take" => {
             let notice = w.take("notice", micros)?.unwrap_or(0);
--- a/tests/runner/state.rs
+++ b/tests/runner/state.rs
@@ -27,6 +27,32 @@
     pub commits: u64,
     txn_ops: usize,
     value_bytes: usize,
+    requests: Bucket,
+    changes: Bucket,
+    pub throttled: u64,
+}
+
+/// Refuses beyond a rate; bursts of one second's worth are allowed.
+struct Bucket {
+    rate: f64,
+    level: f64,
+    at: u64,
+}
+
+impl Bucket {
+    fn new(rate: f64) -> Bucket {
+        Bucket { rate, level: rate, at: 0 }
+    }
+
+    fn take(&mut self, now: u64, n: f64) -> bool {
+        self.level = (self.level + self.rate * (now - self.at) as f64 / 1e6).min(self.rate.max(n));
+        self.at = now;
+        let enough = self.level >= n;
+        if enough {
+            self.level -= n;
+        }
+        enough
+    }
 }
 
 fn query<'a>(path: &'a str, key: &str) -> Option<&'a str> {
@@ -35,7 +61,7 @@
 }
 
 impl State {
-    pub fn new(txn_ops: usize, value_bytes: usize) -> State {
+    pub fn new(txn_ops: usize, value_bytes: usize, rates: (f64, f64)) -> State {
         State {
             items: BTreeMap::new(),
             log: Vec::new(),
@@ -47,6 +73,9 @@
             commits: 0,
             txn_ops,
             value_bytes,
+            requests: Bucket::new(rates.0),
+            changes: Bucket::new(rates.1),
+            throttled: 0,
         }
     }
 
@@ -120,6 +149,11 @@
         }
         let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         let route = path.split('?').next().unwrap_or_default();
+        let changes = body["then"].as_array().map_or(0, Vec::len);
+        if !self.requests.take(now, 1.0) || changes > 0 && !self.changes.take(now, changes as f64) {
+            self.throttled += 1;
+            return Some((429, json!({"error": "too many"})));
+        }
         Some(match (method, route) {
             ("GET", "/kv") => {
                 let prefix = query(path, "prefix").unwrap_or_default();
