Idle machines are returned by the least idle count of a boot time; what is dear is shared by what is late

Cause: single machines of a large fleet take turns in being idle, so none was idle for long although many always were; and a late job hired dear machines anew every half second, since earlier jobs took those that were on their way, 700 ordinary machines in the first minute.

--- a/src/bookkeeping/amount.rs
+++ b/src/bookkeeping/amount.rs
@@ -1,7 +1,7 @@
 //! Amounts of what a machine offers, in whole thousandths.
 
 use serde::{Deserialize, Serialize};
-use std::ops::{AddAssign, SubAssign};
+use std::ops::{AddAssign, Sub, SubAssign};
 
 /// Cores, accelerators and memory, each in thousandths (of a core, a card, a GB).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,6 +54,14 @@
     }
 }
 
+impl Sub for Amount {
+    type Output = Amount;
+    fn sub(mut self, o: Amount) -> Amount {
+        self -= o;
+        self
+    }
+}
+
 impl SubAssign for Amount {
     fn sub_assign(&mut self, o: Amount) {
         self.cores = self.cores.saturating_sub(o.cores);
--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -20,29 +20,74 @@
     pub price_limit: u64,
 }
 
-impl Demand<'_> {
-    fn takes(&self, r: &Room<'_>) -> bool {
-        self.spec.allows(r.build, r.yard, r.spot) && r.price <= self.price_limit
-    }
-}
-
-/// A machine that is up, or is expected to be.
+/// Machines of one type, zone and kind that are up, or are expected to be.
 #[derive(Clone, Debug)]
-pub struct Room<'a> {
+pub struct Pool<'a> {
     /// Type.
     pub build: &'a str,
     /// Zone.
     pub yard: &'a str,
     /// Spot.
     pub spot: bool,
-    /// All of its room.
+    /// All of one machine's room.
     pub all: Amount,
-    /// Room left.
-    pub free: Amount,
-    /// Core time that what is booked on it still takes, in thousandths of a core times microseconds.
-    pub work: u128,
     /// Price per core.
     pub price: u64,
+    /// How many machines.
+    pub count: u64,
+    /// Core time that what is booked on them still takes, in thousandths of a core times microseconds.
+    pub work: u128,
+    /// Room left on those that have some.
+    pub free: Vec<Amount>,
+}
+
+/// All machines.
+#[derive(Clone, Debug, Default)]
+pub struct Pools<'a>(Vec<Pool<'a>>);
+
+impl<'a> Pools<'a> {
+    /// Adds machines with this much room left and this much work booked on each.
+    pub fn add(
+        &mut self,
+        (build, yard, spot): (&'a str, &'a str, bool),
+        catalog: &Catalog,
+        count: u64,
+        free: Option<Amount>,
+        work: u128,
+    ) {
+        let at = self.0.iter().position(|p| p.spot == spot && p.build == build && p.yard == yard);
+        let at = at.unwrap_or_else(|| {
+            let kind = catalog.get(build);
+            let all = kind.map_or(Amount::default(), |t| t.room);
+            let price = kind.map_or(0, |t| core_price(t, spot));
+            self.0.push(Pool { build, yard, spot, all, price, count: 0, work: 0, free: Vec::new() });
+            self.0.len() - 1
+        });
+        let pool = &mut self.0[at];
+        pool.count += count;
+        pool.work += work * u128::from(count);
+        let free = free.unwrap_or(pool.all);
+        if free.cores > 0 {
+            pool.free.extend((0..count).map(|_| free));
+        }
+    }
+}
+
+impl Pool<'_> {
+    /// Takes room for up to `left` tasks; how many found none.
+    fn take(&mut self, need: &Amount, mut left: u64, task_work: u128) -> u64 {
+        for free in &mut self.free {
+            if left == 0 {
+                break;
+            }
+            let n = need.times_in(free, left);
+            *free -= need.times(n);
+            self.work += task_work * u128::from(n);
+            left -= n;
+        }
+        self.free.retain(|f| f.cores > 0);
+        left
+    }
 }
 
 /// A type, zone and kind of machine.
@@ -71,50 +116,60 @@
 }
 
 /// Machines to hire, with how many of each. `offered`: whether an offer is worth asking for.
-pub fn plan(
-    catalog: &Catalog,
+pub fn plan<'a>(
+    catalog: &'a Catalog,
     demands: &[Demand<'_>],
-    rooms: &mut [Room<'_>],
+    pools: &mut Pools<'a>,
     offered: &dyn Fn(&Offer) -> bool,
 ) -> Vec<(Offer, u32)> {
     /// Most machines asked for at once.
-    const MOST: usize = 200;
+    const MOST: u32 = 400;
     let mut hires: Vec<(Offer, u32)> = Vec::new();
-    let mut new: Vec<(Offer, Amount)> = Vec::new();
+    let mut hired = 0;
     let mut waiting: u128 = 0;
     for d in demands {
         let need = &d.spec.need;
         let task_work = u128::from(need.cores) * u128::from(d.run.0);
         let mut left = d.count;
-        for r in rooms.iter_mut().filter(|r| d.takes(r)) {
-            let n = take(&mut r.free, need, left);
-            r.work += task_work * u128::from(n);
-            left -= n;
-        }
-        for (_, free) in new.iter_mut().filter(|(o, _)| d.spec.allows(&o.build, &o.yard, o.spot)) {
-            left -= take(free, need, left);
-        }
-        while left > 0 && new.len() < MOST {
+        // What is dear is there for what would be late, whatever it was hired for.
+        let mut late = false;
+        let take = |pools: &mut Pools<'_>, mut left: u64, dear: bool| {
+            for p in &mut pools.0 {
+                if left > 0 && (p.price > d.price_limit) == dear && d.spec.allows(p.build, p.yard, p.spot) {
+                    left = p.take(need, left, task_work);
+                }
+            }
+            left
+        };
+        left = take(pools, left, false);
+        while left > 0 && hired < MOST {
             // How long until the machines that could run these tasks have run off what is ahead.
             let (mut cores, mut ahead) = (0, waiting + task_work * u128::from(left));
-            for r in rooms.iter().filter(|r| d.takes(r)) {
-                let usable = need.times_in(&r.all, u64::from(u32::MAX)) * need.cores;
-                if usable > 0 {
-                    cores += u128::from(usable);
-                    ahead += r.work;
+            for p in &pools.0 {
+                if (late || p.price <= d.price_limit) && d.spec.allows(p.build, p.yard, p.spot) {
+                    let usable = need.times_in(&p.all, u64::from(u32::MAX)) * need.cores;
+                    if usable > 0 {
+                        cores += u128::from(usable * p.count);
+                        ahead += p.work;
+                    }
                 }
             }
-            for (o, _) in new.iter().filter(|(o, _)| d.spec.allows(&o.build, &o.yard, o.spot)) {
-                cores += catalog.get(&o.build).map_or(0, |t| u128::from(t.room.cores));
-            }
             let backlog = Backlog { cores, ahead };
+            if !late && backlog.drained() > d.slack {
+                late = true;
+                left = take(pools, left, true);
+                continue;
+            }
             let Some((t, offer)) = cheapest(catalog, d, left, backlog, offered) else {
                 waiting += task_work * u128::from(left);
                 break;
             };
-            let mut free = t.room;
-            left -= take(&mut free, need, left);
-            new.push((offer.clone(), free));
+            let zone = t.zones.iter().find(|z| **z == offer.yard).map_or("", |z| z.as_str());
+            let n = need.times_in(&t.room, left);
+            let free = t.room - need.times(n);
+            pools.add((&t.name, zone, offer.spot), catalog, 1, Some(free), task_work * u128::from(n));
+            left -= n;
+            hired += 1;
             match hires.iter_mut().find(|(o, _)| *o == offer) {
                 Some((_, n)) => *n += 1,
                 None => hires.push((offer, 1)),
@@ -124,12 +179,6 @@
     hires
 }
 
-fn take(free: &mut Amount, need: &Amount, most: u64) -> u64 {
-    let n = need.times_in(free, most);
-    *free -= need.times(n);
-    n
-}
-
 /// What is ahead of the machines that could run a demand.
 #[derive(Clone, Copy)]
 struct Backlog {
@@ -172,8 +221,9 @@
                 // There must still be something for it to do when it comes up.
                 let some = u128::from(d.spec.need.cores) * u128::from(d.run.0) * u128::from(per_machine) / 2;
                 let useful = backlog.cores == 0 || backlog.after(comes_up) >= some;
-                // What is dear is only for what would be late otherwise and will not be with it.
-                let late = backlog.drained() > d.slack && comes_up < d.slack;
+                // What is dear is only for what would be late otherwise and will not be with it, and
+                // only if it does not take longer to come up than it works.
+                let late = backlog.drained() > d.slack && comes_up < d.slack && comes_up <= d.run;
                 let worth = useful && (late || backlog.cores == 0 || core_price(t, spot) <= dear);
                 if !worth || !d.spec.allows(&t.name, zone, spot) || !offered(&offer) {
                     continue;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,16 +1,15 @@
 //! Hiring and returning machines: the work of slice 0's owner, who alone talks to the cloud.
 
 use super::{Call, CallId, Controller, Effect, Purpose};
-use crate::bookkeeping::amount::Amount;
 use crate::bookkeeping::catalog::Catalog;
-use crate::bookkeeping::fleet::{Demand, Offer, Room, core_price, plan};
+use crate::bookkeeping::fleet::{Demand, Offer, Pools, core_price, plan};
 use crate::bookkeeping::ids::MachineId;
 use crate::bookkeeping::records::{Fitness, FleetRecord, HireRecord, Key};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Content, Touched};
 use crate::protocol::cloud::{CloudReply, CloudRequest, HIRE_LIMIT, Host, HostStatus, RELEASE_LIMIT};
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Why the cloud was asked.
 #[derive(Debug)]
@@ -52,6 +51,7 @@
     lists: u32,
     known: BTreeMap<MachineId, Known>,
     idle: HashMap<MachineId, Micros>,
+    spare: BTreeMap<Offer, Spare>,
     lost: HashMap<MachineId, Micros>,
     released: BTreeSet<MachineId>,
     releasing: BTreeSet<MachineId>,
@@ -62,6 +62,40 @@
     trouble_until: Micros,
 }
 
+/// The least number of machines of one offer that were idle at any time of a window.
+///
+/// Single machines of a large fleet take turns in being idle, so none may be idle for long although
+/// many always are. As many as never had work at once in the time that a new one takes to boot are
+/// not needed: should that turn out wrong, one is there again as soon as they were idle.
+#[derive(Debug, Default)]
+struct Spare {
+    /// When the window began, and ever larger counts within it: the first is the least.
+    since: Option<Micros>,
+    counts: VecDeque<(Micros, usize)>,
+}
+
+impl Spare {
+    /// Notes how many are idle now; the least of the window, once it is full.
+    fn note(&mut self, now: Micros, idle: usize, window: Micros) -> usize {
+        let since = *self.since.get_or_insert(now);
+        while self.counts.back().is_some_and(|(_, n)| *n >= idle) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back((now, idle));
+        while self.counts.front().is_some_and(|(t, _)| now.since(*t) > window) {
+            self.counts.pop_front();
+        }
+        if now.since(since) < window { 0 } else { self.counts.front().map_or(0, |(_, n)| *n) }
+    }
+
+    /// So many of them are returned.
+    fn take(&mut self, returned: usize) {
+        for (_, n) in &mut self.counts {
+            *n = n.saturating_sub(returned);
+        }
+    }
+}
+
 impl Fleet {
     /// Something changed that may call for machines.
     pub fn look(&mut self) {
@@ -152,34 +186,28 @@
     }
 
     /// Machines that are up or expected to come up.
-    fn rooms<'a>(&'a self, catalog: &Catalog) -> Vec<Room<'a>> {
-        let room = |build: &'a str, yard: &'a str, spot: bool| {
-            let all = catalog.get(build).map_or(Amount::default(), |t| t.room);
-            let price = catalog.get(build).map_or(0, |t| core_price(t, spot));
-            Room { build, yard, spot, all, free: all, work: 0, price }
-        };
-        let mut rooms: Vec<Room<'a>> = Vec::new();
+    fn pools<'a>(&'a self, catalog: &Catalog) -> Pools<'a> {
+        let mut pools = Pools::default();
         for (_, _, r) in self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up) {
-            let mut up = room(&r.build, &r.yard, r.spot);
-            up.free = self.view.free(r);
-            for b in &r.tasks {
-                if let Some(j) = self.view.jobs.get(&b.attempt().task.job) {
-                    // Half of what it takes is over, on the average.
-                    up.work += u128::from(j.spec().need.cores) * u128::from(j.spec().guess.0 / 2);
-                }
-            }
-            rooms.push(up);
+            // Half of what is booked is over, on the average.
+            let work = r
+                .tasks
+                .iter()
+                .filter_map(|b| self.view.jobs.get(&b.attempt().task.job))
+                .map(|j| u128::from(j.spec().need.cores) * u128::from(j.spec().guess.0 / 2));
+            pools.add((&r.build, &r.yard, r.spot), catalog, 1, Some(self.view.free(r)), work.sum());
+        }
+        for (_, k) in self.fleet.known.iter().filter(|(m, k)| self.boots(**m, k)) {
+            pools.add((&k.build, &k.yard, k.spot), catalog, 1, None, 0);
         }
-        let known = self.fleet.known.iter().filter(|(m, k)| self.boots(**m, k));
-        rooms.extend(known.map(|(_, k)| room(&k.build, &k.yard, k.spot)));
         // Rentals of an earlier owner whose machines no list shows yet.
         for h in &self.view.fleet.value.hires {
             let age = self.now.day.since(h.at);
             if age < self.cfg.list_lag * 2 + Micros::secs(8) {
-                rooms.extend((0..h.count).map(|_| room(&h.build, &h.yard, h.spot)));
+                pools.add((&h.build, &h.yard, h.spot), catalog, h.count.into(), None, 0);
             }
         }
-        rooms
+        pools
     }
 
     fn hire_machines(&mut self) {
@@ -191,7 +219,7 @@
         }
         let none_left = &self.fleet.none_left;
         let offered = |o: &Offer| none_left.get(o).is_none_or(|(until, _)| *until <= now);
-        let hires = plan(catalog, &demands, &mut self.rooms(catalog), &offered);
+        let hires = plan(catalog, &demands, &mut self.pools(catalog), &offered);
         if hires.is_empty() {
             return;
         }
@@ -457,6 +485,7 @@
         let mut marks = Vec::new();
         let mut seen_idle = HashMap::new();
         let mut seen_lost = HashMap::new();
+        let mut idle_of: BTreeMap<Offer, Vec<(Micros, MachineId)>> = BTreeMap::new();
         for (_, m, r) in self.view.machines() {
             let idle = r.tasks.is_empty();
             let since = *self.fleet.idle.get(&m).unwrap_or(&now);
@@ -481,9 +510,25 @@
                     }
                 }
                 Fitness::Up if idle && now.since(since) > self.idle_limit(&r.build, r.spot) => marks.push((m, "idle")),
+                Fitness::Up if idle => {
+                    let offer = Offer { build: r.build.to_string(), yard: r.yard.to_string(), spot: r.spot };
+                    idle_of.entry(offer).or_default().push((since, m));
+                }
                 _ => {}
             }
         }
+        for offer in self.fleet.spare.keys() {
+            idle_of.entry(offer.clone()).or_default();
+        }
+        for (offer, mut idle) in idle_of {
+            let window = self.idle_limit(&offer.build, offer.spot);
+            let spare = self.fleet.spare.entry(offer).or_default();
+            let count = spare.note(now, idle.len(), window);
+            spare.take(count);
+            // Those that have been idle the longest.
+            idle.sort_unstable();
+            marks.extend(idle.into_iter().take(count).map(|(_, m)| (m, "spare")));
+        }
         self.fleet.idle = seen_idle;
         self.fleet.lost = seen_lost;
         for (m, why) in marks {
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -376,6 +376,8 @@
         let mut asks: Vec<Ask<'a>> = Vec::new();
         let mut wanted = 0;
         let mut left: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+        let up = self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up);
+        let kinds: BTreeSet<(&str, &str, bool)> = up.map(|(_, _, r)| (&*r.build, &*r.yard, r.spot)).collect();
         for (id, job) in jobs {
             if wanted >= Self::CLAIMS {
                 break;
@@ -419,7 +421,7 @@
                 tasks,
                 zones: if spec.one_zone || spec.apart { self.zones_of(id) } else { BTreeMap::new() },
                 most,
-                price_limit: self.price_limit(job),
+                price_limit: self.price_limit_among(job, &kinds),
                 owner: k,
                 mine,
                 preempts: self.preempts(job),
@@ -511,14 +513,30 @@
         let spec = job.spec();
         let margin = Micros::secs(10) + Micros(spec.guess.0 / 4);
 
-        match &self.view.types.value {
-            Some(catalog) if !self.starts_at_once(spec) && self.latest_start(job) >= self.now.day + margin => {
-                price_limit(catalog, spec)
-            }
-            _ => u64::MAX,
+        if self.starts_at_once(spec) || self.latest_start(job) < self.now.day + margin {
+            u64::MAX
+        } else {
+            self.fair_price(spec)
         }
     }
 
+    /// The same for placing: where nothing but what is dear is up, waiting for better would leave
+    /// it idle, and paid for.
+    fn price_limit_among(&self, job: &Job, kinds: &BTreeSet<(&str, &str, bool)>) -> u64 {
+        let spec = job.spec();
+        let limit = self.price_limit(job);
+        let cheap = |(build, yard, spot): &(&str, &str, bool)| {
+            self.view.machine_type(build).is_some_and(|t| {
+                spec.need.fits(&t.room) && spec.allows(build, yard, *spot) && core_price(t, *spot) <= limit
+            })
+        };
+        if limit < u64::MAX && !kinds.iter().any(cheap) { u64::MAX } else { limit }
+    }
+
+    fn fair_price(&self, spec: &JobSpec) -> u64 {
+        self.view.types.value.as_ref().map_or(u64::MAX, |catalog| price_limit(catalog, spec))
+    }
+
     /// Whether the objectives want tasks of this class started at once.
     fn starts_at_once(&self, spec: &JobSpec) -> bool {
         self.objectives(spec).any(|o| matches!(o, ObjectiveKind::Wait(_)))
