Silent machines are asked, and returned at once where a list or a deadline says so

Cause: tasks on machines that died or were taken waited 34 s for the lease, and after a takeover up to two minutes, since their silence counted anew: of jobs whose first task was placed within a second the last was placed after 50 to 100 s. A worker whose report is overdue is sent a command without orders; without an answer it takes no more work. It is returned at once if the last list does not show it, or if its tasks would be late by the lease and not by a new start.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -3,7 +3,7 @@
 use super::{Call, CallId, Controller, Effect, Purpose};
 use crate::bookkeeping::catalog::Catalog;
 use crate::bookkeeping::fleet::{Demand, Offer, Pools, core_price, plan};
-use crate::bookkeeping::ids::MachineId;
+use crate::bookkeeping::ids::{JobId, MachineId};
 use crate::bookkeeping::records::{Fitness, FleetRecord, HireRecord, Key};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Content, Touched};
@@ -47,8 +47,9 @@
     asking_catalog: bool,
     listing: bool,
     list_sent: Micros,
-    /// Lists completed since the tenure began.
+    /// Lists completed since the tenure began, and when the last of them was asked for.
     lists: u32,
+    last_list: Micros,
     known: BTreeMap<MachineId, Known>,
     idle: HashMap<MachineId, Micros>,
     spare: BTreeMap<Offer, Spare>,
@@ -443,6 +444,7 @@
         self.fleet.next_list = now + Micros::secs(4);
         self.fleet.lists += 1;
         let sent = self.fleet.list_sent;
+        self.fleet.last_list = sent;
         for h in hosts {
             if h.status == HostStatus::Failed && self.view.machine(h.id).is_some() {
                 tracing::info!(machine = %h.id, "failed, says the cloud");
@@ -499,13 +501,12 @@
                     let lost = *self.fleet.lost.get(&m).unwrap_or(&now);
                     seen_lost.insert(m, lost);
                     let quiet = now.since(lost);
-                    // Lists go back in time by up to twice their lag.
-                    let list = self.fleet.known.get(&m).and_then(|k| k.listed);
-                    let unlisted = quiet > self.cfg.list_lag * 2 + Micros::secs(2)
-                        && list.is_none_or(|t| t < lost + self.cfg.list_lag);
-                    if unlisted {
+                    let pressed = r.tasks.iter().any(|b| self.pressed(b.attempt().task.job));
+                    if self.unlisted(m) {
                         marks.push((m, "silent and not listed"));
-                    } else if quiet > self.cfg.lease + Micros::secs(20) {
+                    } else if pressed {
+                        marks.push((m, "silent, and its tasks can still be in time elsewhere"));
+                    } else if quiet > self.cfg.lease + if idle { Micros::secs(20) } else { Micros::ZERO } {
                         marks.push((m, "silent for long"));
                     }
                 }
@@ -554,6 +555,25 @@
         }
     }
 
+    /// Whether the last list shows that a machine is gone. Lists may be older than the one before, so
+    /// one that was rented lately may be missing without being gone.
+    fn unlisted(&self, m: MachineId) -> bool {
+        let old = self.cfg.list_lag * 2 + Micros::secs(2);
+        self.fleet.lists > 0
+            && self.fleet.known.get(&m).is_none_or(|k| {
+                k.listed.is_none_or(|t| t < self.fleet.last_list) && self.now.steady.since(k.since) > old
+            })
+    }
+
+    /// Whether a task of a job, if it had to wait for the lease of a silent machine, would be late, but
+    /// not if it were started again at once. A release is proof at once that the machine is gone.
+    fn pressed(&self, job: JobId) -> bool {
+        self.view.jobs.get(&job).is_some_and(|j| {
+            let latest = self.latest_start(j);
+            !j.record.cancelled && latest >= self.now.day && latest < self.now.day + self.cfg.lease
+        })
+    }
+
     fn on_released(&mut self, machines: &[MachineId], result: Result<CloudReply, CallError>) {
         for m in machines {
             self.fleet.releasing.remove(m);
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -269,6 +269,16 @@
             return (mine_again, "owned, but without an unbroken tenure");
         }
         let mut wanted = Vec::new();
+        // When all have started at once, the others are about to claim as well: in the first moment
+        // each takes its even share, so that none has to answer every worker and hand over again.
+        let others = self.cfg.controllers();
+        let just_started = now.since(self.ownership.ready_since.unwrap_or(now)) < Micros::millis(400);
+        if just_started && self.view.nodes.len() < others {
+            let before_me = self.cfg.others.iter().filter(|o| o.node < self.cfg.node).count();
+            orphans.retain(|k| k % others == before_me);
+            self.ownership.next_claim = now + Micros::millis(100);
+            return (orphans, "without a live owner, its share of them");
+        }
         for k in orphans {
             let Some(least) = load.iter().min_by_key(|(name, n)| (**n, **name)).map(|(name, _)| *name) else {
                 break;
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -32,6 +32,10 @@
     heard: bool,
     /// When the last report that was answered 200 came in.
     answered: Option<Micros>,
+    /// When there was last any word of it: a report, or an answer to a direct command.
+    word: Option<Micros>,
+    /// A direct command since then had no answer.
+    unreachable: bool,
     seen: Vec<(Attempt, TaskState)>,
     launched: BTreeSet<Attempt>,
     started: BTreeMap<Attempt, Micros>,
@@ -58,6 +62,8 @@
             order: (0, 0),
             heard: false,
             answered: None,
+            word: None,
+            unreachable: false,
             seen: Vec::new(),
             launched: BTreeSet::new(),
             started: BTreeMap::new(),
@@ -73,6 +79,11 @@
         }
     }
 
+    fn word(&mut self, now: Micros) {
+        self.word = Some(now);
+        self.unreachable = false;
+    }
+
     /// Whether no launch of the attempt can still be on its way by a direct command.
     fn settled(&self, a: &Attempt) -> bool {
         !self.unsettled.iter().any(|(u, _, _)| u == a) && self.direct.as_ref().is_none_or(|d| !d.launches.contains(a))
@@ -206,11 +217,15 @@
             tracing::info!(machine = %report.machine, build = report.build, spot = report.spot, "heard for the first time");
             Session::new(&report.endpoint, &report.build, &report.yard, report.spot)
         });
+        if session.endpoint != report.endpoint {
+            session.endpoint.clone_from(&report.endpoint);
+        }
         session.refused = session.refused.max(dead);
         if report.session() <= session.refused {
             return ReportAnswer::Unavailable;
         }
         session.answered = Some(self.now.steady);
+        session.word(self.now.steady);
         if report.order <= session.order {
             return ReportAnswer::Orders { baton, orders: Vec::new() };
         }
@@ -424,7 +439,6 @@
     pub(super) fn pump_sessions(&mut self) {
         let now = self.now.steady;
         for m in std::mem::take(&mut self.to_command) {
-            let k = self.view.machine_slice(m);
             let contact = self.contact_age();
             let Some(s) = self.sessions.get_mut(&m) else {
                 continue;
@@ -469,15 +483,7 @@
             if orders.is_empty() {
                 continue;
             }
-            let baton = self.view.own[k].stamp;
-            let session = s.order.0;
-            let body = direct_body(baton, session, &orders);
-            let endpoint = s.endpoint.clone();
-            let call = self.call(Purpose::Direct(m));
-            if let Some(s) = self.sessions.get_mut(&m) {
-                s.direct = Some(Direct { call, baton, session, launches });
-            }
-            self.out.push(Effect::Direct { call, endpoint, body, limit: Self::DIRECT_LIMIT });
+            self.command(m, orders, launches);
         }
     }
 
@@ -495,6 +501,7 @@
             self.to_command.insert(machine);
         }
         let Some((executed, report)) = result else {
+            s.unreachable = true;
             // It may be held somewhere and carried out much later.
             if s.unsettled.is_empty() {
                 s.unsettled_since = now;
@@ -505,6 +512,7 @@
             }
             return;
         };
+        s.word(now);
         if !executed {
             for a in &direct.launches {
                 s.launched.remove(a);
@@ -522,22 +530,24 @@
             self.rounds.look();
         }
         let silence = self.cfg.lease.with_drift() + Self::SILENCE_MARGIN;
-        let suspicious = self.cfg.report * 3 + Micros::millis(1_500);
-        let machines: Vec<MachineId> = self.sessions.keys().copied().collect();
-        for m in machines {
-            let k = self.view.machine_slice(m);
-            let Some(tenure) = self.ownership.tenure(k) else {
+        // A report is due by now, and a little late; after a takeover the worker may first have to
+        // give up on another node.
+        let due = self.cfg.report + Micros(self.cfg.report.0 / 4) + Micros::millis(1_500);
+        let unheard = Micros::millis(5_500);
+        let mut probes = Vec::new();
+        for (m, s) in &mut self.sessions {
+            let Some(tenure) = self.ownership.tenure(self.view.machine_slice(*m)) else {
                 continue;
             };
-            let Some(record) = self.view.machine(m) else {
+            let quiet = now.since(s.answered.unwrap_or(tenure.since));
+            let wordless = now.since(s.word.unwrap_or(tenure.since));
+            if wordless <= due {
                 continue;
-            };
-            let (fitness, dead) = (record.fitness, record.dead);
-            let booked: Vec<Attempt> = record.tasks.iter().map(|b| b.attempt()).collect();
-            let Some(s) = self.sessions.get_mut(&m) else {
+            }
+            let Some(record) = self.view.machine(*m) else {
                 continue;
             };
-            let quiet = now.since(s.answered.unwrap_or(tenure.since));
+            let (fitness, dead) = (record.fitness, record.dead);
             if s.heard && s.answered.is_some() && quiet > silence {
                 // Decided: the session is never answered again, whatever comes of the commit.
                 if s.refused < s.order.0 {
@@ -546,20 +556,38 @@
                 }
                 if dead < s.refused {
                     let fitness = fitness.max(Fitness::Lost);
-                    self.rounds.mark(m, Mark { fitness, dead: s.refused });
+                    self.rounds.mark(*m, Mark { fitness, dead: s.refused });
                 }
-                for a in booked {
-                    self.rounds.clear(m, a, Outcome::Again);
+                for b in &record.tasks {
+                    self.rounds.clear(*m, b.attempt(), Outcome::Again);
                 }
-            } else {
-                let limit = if s.answered.is_some() { suspicious } else { silence + suspicious };
-                if quiet > limit
-                    && fitness < Fitness::Lost
-                    && self.rounds.mark(m, Mark { fitness: Fitness::Lost, dead })
-                {
-                    tracing::info!(machine = %m, quiet = %quiet, "silent, takes no more work");
+            } else if fitness < Fitness::Lost && (s.word.is_some() || wordless > due + unheard) {
+                // Its reports may have gone elsewhere, or this process may be behind: it is asked.
+                if !s.unreachable {
+                    probes.push(*m);
+                } else if self.rounds.mark(*m, Mark { fitness: Fitness::Lost, dead }) {
+                    tracing::info!(machine = %m, quiet = %wordless, "silent, takes no more work");
                 }
             }
         }
+        for m in probes {
+            self.command(m, Vec::new(), Vec::new());
+        }
+    }
+
+    /// Sends a direct command, which may have no orders: then its answer only tells how the worker is.
+    fn command(&mut self, m: MachineId, orders: Vec<Order>, launches: Vec<Attempt>) {
+        let k = self.view.machine_slice(m);
+        let baton = self.view.own[k].stamp;
+        let Some(s) = self.sessions.get(&m).filter(|s| s.direct.is_none() && !s.endpoint.is_empty()) else {
+            return;
+        };
+        let (endpoint, session) = (s.endpoint.clone(), s.order.0);
+        let body = direct_body(baton, session, &orders);
+        let call = self.call(Purpose::Direct(m));
+        if let Some(s) = self.sessions.get_mut(&m) {
+            s.direct = Some(Direct { call, baton, session, launches });
+        }
+        self.out.push(Effect::Direct { call, endpoint, body, limit: Self::DIRECT_LIMIT });
     }
 }
