Latest starts leave a quarter of the estimate and the image's fetch

Cause: waveform jobs waited for cheap room until their slack by the bare estimate was nearly used up, and then ran longer than estimated.

--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -500,11 +500,14 @@
         jobs.into_iter().map(|(_, id, j)| (id, j)).collect()
     }
 
-    /// The time of day by which a job's tasks should start to end as they should.
+    /// The time of day by which a job's tasks should start to end as they should: an estimate is
+    /// often wrong, of many tasks some run longer, and the image may have to be fetched.
     pub(super) fn latest_start(&self, job: &Job) -> Micros {
         let spec = job.spec();
         let due = spec.due.unwrap_or_else(|| self.finish_aim(spec));
-        (job.record.submitted + due) - spec.guess
+        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let fetch = types.filter(|t| spec.need.fits(&t.room)).map(|t| t.fetch_time(spec.size)).min();
+        (job.record.submitted + due) - (spec.guess + Micros(spec.guess.0 / 4) + fetch.unwrap_or_default())
     }
 
     /// Most that a core may cost for a job: what is dear is for those that would be late, or have
