--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -294,13 +294,18 @@
             return (wanted, "without a live owner");
         }
         let mine = load.get(self.cfg.node.as_str()).copied().unwrap_or(0);
-        let Some((rich, most)) = load.iter().max_by_key(|(name, n)| (**n, **name)) else {
+        let (Some((rich, most)), Some((poor, _))) =
+            (load.iter().max_by_key(|(name, n)| (**n, **name)), load.iter().min_by_key(|(name, n)| (**n, **name)))
+        else {
             return (wanted, "");
         };
-        if *most >= mine + 2 && now >= self.ownership.next_rebalance {
+        // One at a time, the one with the least first: several would claim the same slice, and who has
+        // one already would take a second before another has any.
+        if *poor == self.cfg.node && *most >= mine + 2 && now >= self.ownership.next_rebalance {
             let settled = now.since(self.ownership.ready_since.unwrap_or(now)) > Micros::secs(2);
-            let of_rich = (0..slices).find(|k| self.view.own[*k].value.as_ref().is_some_and(|o| o.node == *rich));
-            if let Some(k) = of_rich.filter(|_| settled) {
+            let of_rich = |k: &Slice| self.view.own[*k].value.as_ref().is_some_and(|o| o.node == *rich);
+            // The last first: the owner of slice 0 would lose what it knows of the cloud.
+            if let Some(k) = (0..slices).rev().find(of_rich).filter(|_| settled) {
                 self.ownership.next_rebalance = now + Micros::millis(2_500);
                 return (vec![k], "to even out");
             }
