Lean rounds for what must start at once

Cause: urgent claims shared a round with the ends on many records. It clashed again and again, and each try was paid for with a second or more of the rate; a quarter of alemu's urgent tasks were placed more than a second after their submission. A round now first claims only what must start at once, with the ends that go along with its records; the rest follows.

--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -137,6 +137,13 @@
         self.usage.contains_key(&k)
     }
 
+    /// Whether clearing this booking writes only records that it writes already.
+    pub fn covers(&self, m: MachineId, a: Attempt) -> bool {
+        let Some(job) = self.view.jobs.get(&a.task.job) else { return false };
+        let k = self.view.job_slice(a.task.job, job.spec());
+        self.home(m).is_some_and(|at| self.writes_group(at)) && self.writes_usage(k)
+    }
+
     /// Makes sure that the records can be edited within the limits; changes nothing otherwise.
     fn reserve(&mut self, needs: Needs<'_>) -> bool {
         let mut ops = self.ops();
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -226,6 +226,9 @@
                 .is_some_and(|r| r.fitness == Fitness::Lost || r.fitness != Fitness::Releasing && r.tasks.is_empty())
         });
 
+        if let Some(drafted) = self.lean_round(limits) {
+            return Some(drafted);
+        }
         let mut draft = Draft::new(view, limits);
         let mut cleared = 0;
         for m in &self.rounds.gone {
@@ -272,17 +275,50 @@
         for id in ended {
             draft.end_cancelled(id);
         }
-        let booked = self.book(&mut draft);
+        let booked = self.book(&mut draft, false);
         (!draft.is_empty()).then(|| Drafted { commit: draft.commit(), booked, cleared })
     }
 
-    /// Plans on the copy as the draft would leave it, and books what the draft can take.
-    fn book(&self, draft: &mut Draft<'_>) -> Vec<(Claim, u64)> {
+    /// A round for what must start at once, and for the ends that go along with its records. The
+    /// fewer records a round writes the less it clashes, and the sooner there may be another. None
+    /// if there is nothing of the kind, or if it needs the room that ends give back.
+    fn lean_round(&self, limits: Limits) -> Option<Drafted> {
+        let urgent = |id: &JobId, j: &Job| {
+            self.starts_at_once(j.spec())
+                && !j.record.cancelled
+                && self.owns(self.view.job_slice(*id, j.spec()))
+                && !self.backing_off(*id, j)
+        };
+        let waiting: u32 =
+            self.view.jobs.iter().filter(|(id, j)| urgent(id, j)).map(|(id, j)| self.view.pending_count(*id, j)).sum();
+        if waiting == 0 {
+            return None;
+        }
+        let mut draft = Draft::new(&self.view, limits);
+        let booked = self.book(&mut draft, true);
+        if booked.len() < waiting as usize {
+            return None;
+        }
+        let mut cleared = 0;
+        for ((m, a), outcome) in &self.rounds.clears {
+            if draft.covers(*m, *a) && draft.clear(*m, *a, *outcome, self.view.machine_slice(*m)) {
+                cleared += 1;
+            }
+        }
+        Some(Drafted { commit: draft.commit(), booked, cleared })
+    }
+
+    /// Plans on the copy as the draft would leave it, and books what the draft can take; of the own
+    /// jobs, if `at_once`, only those that must start at once.
+    fn book(&self, draft: &mut Draft<'_>, at_once: bool) -> Vec<(Claim, u64)> {
         let jobs = self.jobs_in_order();
         if !jobs.iter().any(|(id, j)| self.owns(self.view.job_slice(*id, j.spec()))) {
             return Vec::new();
         }
         let mut asks = self.asks(jobs, draft);
+        if at_once {
+            asks.iter_mut().for_each(|a| a.mine &= self.starts_at_once(a.spec));
+        }
         let owners = self.owner_numbers();
         let mut groups = Groups::default();
         let mut numbers = BTreeMap::new();
