--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -970,6 +970,7 @@
                 Expect::AllDone => self.check.open().is_empty(),
                 Expect::Clashes => self.counters.clashes > 0,
                 Expect::Takeovers(n) => self.takeovers >= *n,
+                Expect::FewTakeovers(n) => self.takeovers <= *n,
                 Expect::LostLeases(n) => self.lost_leases <= *n,
                 Expect::Groups(n) => self.most_groups >= *n,
                 Expect::AllRecorded => unrecorded == 0,
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -109,6 +109,7 @@
     AllDone,
     Clashes,
     Takeovers(u64),
+    FewTakeovers(u64),
     LostLeases(u64),
     FewerMachines(u64),
     /// Some slice had at least so many group records at once.
@@ -289,6 +290,7 @@
                     "unknown" => Expect::Unknown(w.word(2, job)?),
                     "all-done" => Expect::AllDone,
                     "clashes" => Expect::Clashes,
+                    "takeovers-at-most" => Expect::FewTakeovers(w.word(2, whole)?),
                     "takeovers" => Expect::Takeovers(w.word(2, whole)?),
                     "lost-leases" => Expect::LostLeases(w.word(2, whole)?),
                     "groups" => Expect::Groups(w.word(2, whole)?),
