A lean round is followed by a full one

Found on a last read: where urgent work never ceases, every round was lean, and what was not urgent, the ends of other tasks, marks and additions starved.

--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -50,6 +50,8 @@
     gone: BTreeSet<MachineId>,
     /// Machines that the fleet wants to return.
     releasing: BTreeSet<MachineId>,
+    /// The last round was for what must start at once alone.
+    lean: bool,
     /// No planning before the copy has passed this revision.
     hold_epoch: u64,
     /// No planning before a read that began after this call.
@@ -226,9 +228,14 @@
                 .is_some_and(|r| r.fitness == Fitness::Lost || r.fitness != Fitness::Releasing && r.tasks.is_empty())
         });
 
-        if let Some(drafted) = self.lean_round(limits) {
+        // Every other round at most: what is urgent may never cease to come.
+        if !std::mem::take(&mut self.rounds.lean)
+            && let Some(drafted) = self.lean_round(limits)
+        {
+            self.rounds.lean = true;
             return Some(drafted);
         }
+        let view = &self.view;
         let mut draft = Draft::new(view, limits);
         let mut cleared = 0;
         for m in &self.rounds.gone {
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -185,7 +185,7 @@
         "node": format!("n{n}"), "zone": "a", "bind": format!("10.0.0.{}:80", n + 1),
         "back": format!("10.0.0.{}:81", n + 1), "others": others,
         "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"},
-        "params": {"teams": teams, "objectives": [],
+        "params": {"teams": teams, "objectives": [{"kind": "wait", "class": "urgent", "within_s": 2, "share": 0.9}],
             "workers": {"report_s": s.report, "lease_s": s.lease, "cancel_s": s.cancel},
             "state": {"rps": s.rates.0, "write_rps": s.rates.1, "value_kb": s.value_kb, "txn_ops": 12},
             "cloud": {"rps": 10, "list_lag_s": s.lag},
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -303,9 +303,19 @@
             }
             "at" => {
                 let at = w.word(1, micros)?;
+                let times = w.take("times", whole)?.unwrap_or(1);
+                let every = w.take("every", micros)?.unwrap_or(0);
                 let (step, words) = step(&mut w)?;
                 plain = words;
-                self.steps.push((at, step));
+                for i in 0..times {
+                    let mut step = step.clone();
+                    match &mut step {
+                        Step::Submit { job, .. } => *job += i,
+                        _ if times > 1 => return Err("only submissions come several times".to_owned()),
+                        _ => {}
+                    }
+                    self.steps.push((at + i * every, step));
+                }
             }
             other => return Err(format!("unknown statement {other}")),
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -79,9 +79,10 @@
         let at = 1 + pick(120);
         let team = ["red", "blue", "free"][pick(3) as usize];
         let urgency = ["high", "standard", "low"][pick(3) as usize];
+        let lane = if urgency == "high" { "urgent" } else { "lane" };
         let extra = ["", " apart=yes", " one_zone=yes", " spot=no", " bookmark=3 stash=2"][pick(5) as usize];
         text += &format!(
-            "at {at} submit req-{job:06} pieces={} cores={} run={} team={team} urgency={urgency} image=i{} due={}{extra}\n",
+            "at {at} submit req-{job:06} pieces={} cores={} run={} team={team} urgency={urgency} lane={lane} image=i{} due={}{extra}\n",
             1 + pick(16),
             1 + pick(4),
             2 + pick(25),
