--- a/src/bookkeeping/group.rs
+++ b/src/bookkeeping/group.rs
@@ -84,11 +84,6 @@
         }
     }
 
-    /// Whether it has the image.
-    pub fn has_image(&self, name: &str) -> bool {
-        self.images.iter().any(|(n, _)| **n == *name)
-    }
-
     /// What the address adds to the machine's number; the same for most machines of a cloud.
     fn address(&self, id: MachineId) -> Address {
         let at = self.endpoint?;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -130,6 +130,8 @@
     pub booked: u64,
     /// Bookings cleared.
     pub cleared: u64,
+    /// Requests that the state service refused for their rate.
+    pub refused: u64,
     /// Slices taken over.
     pub takeovers: u64,
 }
@@ -284,6 +286,7 @@
                 dropped = c.dropped,
                 booked = c.booked,
                 cleared = c.cleared,
+                refused = c.refused,
                 "counts so far"
             );
         }
@@ -354,6 +357,7 @@
             return;
         };
         if result.as_ref().is_err_and(|e| *e == CallError::TooMany) {
+            self.counters.refused += 1;
             self.budget.refused(self.now.steady);
         }
         match call.purpose {
