--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 mod draft;
 mod fleet;
 mod ownership;
+mod reach;
 mod reader;
 mod rounds;
 mod sessions;
@@ -108,6 +109,7 @@
     Fleet(Box<(FleetRecord, Vec<HireRecord>)>),
     Cloud(fleet::CloudPurpose),
     Direct(MachineId),
+    Enquiry,
 }
 
 struct Call {
@@ -155,6 +157,7 @@
     to_command: BTreeSet<MachineId>,
     /// Machines that were removed lately: those of the highest numbers.
     removed: BTreeSet<MachineId>,
+    reach: reach::Reach,
     rounds: rounds::Rounds,
     users: users::Users,
     fleet: fleet::Fleet,
@@ -183,6 +186,7 @@
             sessions: BTreeMap::new(),
             to_command: BTreeSet::new(),
             removed: BTreeSet::new(),
+            reach: reach::Reach::default(),
             rounds: rounds::Rounds::default(),
             users: users::Users::default(),
             fleet: fleet::Fleet::default(),
@@ -204,14 +208,20 @@
             Event::User(call, request) => self.on_user(call, request),
             Event::BadSubmission(call, job, why) => self.on_bad_submission(call, job, why),
             Event::Report(call, report) => {
+                self.reach.heard(self.now.steady);
                 let answer = self.on_report(&report);
                 self.out.push(Effect::Report(call, answer));
             }
             Event::State(call, result) => self.on_state(call, result),
             Event::Cloud(call, result) => self.on_cloud(call, result),
             Event::Direct(call, result) => {
-                if let Some(Call { purpose: Purpose::Direct(machine), .. }) = self.calls.remove(&call) {
-                    self.on_direct(call, machine, result);
+                if result.is_some() {
+                    self.reach.heard(self.now.steady);
+                }
+                match self.calls.remove(&call).map(|c| c.purpose) {
+                    Some(Purpose::Direct(machine)) => self.on_direct(call, machine, result),
+                    Some(Purpose::Enquiry) => self.on_enquiry(result.is_some()),
+                    _ => {}
                 }
             }
             Event::Peer(hint) => self.on_hint(hint),
@@ -274,6 +284,7 @@
     }
 
     fn sweep(&mut self) {
+        self.sweep_reach();
         self.sweep_sessions();
         self.sweep_users();
         if self.now.steady >= self.next_count {
@@ -303,6 +314,7 @@
                 contact_ms: contact,
                 epoch: self.view.epoch,
                 terms,
+                heard_ms: self.heard_ms(),
                 spends: (self.budget.spending(self.now.steady) * 1e3) as u64,
             }));
             let lately = |(heard, hint): &(Micros, PeerHint)| {
@@ -375,7 +387,7 @@
             Purpose::Round(round) => self.on_round(*round, result),
             Purpose::Types(types) => self.on_types_written(types, result),
             Purpose::Fleet(record) => self.on_fleet_written(*record, result),
-            Purpose::Cloud(_) | Purpose::Direct(_) => {}
+            Purpose::Cloud(_) | Purpose::Direct(_) | Purpose::Enquiry => {}
         }
     }
 
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -173,23 +173,25 @@
         mine.is_some_and(|n| n.value.run == self.run)
     }
 
+    /// Keeps the node's own record as it should be: there, unless the node has withdrawn.
     fn pump_node(&mut self) {
         let now = self.now.steady;
         let Some(lease) = self.ownership.lease else {
             return;
         };
-        if self.ownership.writing || self.alive() {
+        let gone = self.reach.withdrawn();
+        let key = Key::Node(self.cfg.node.clone());
+        let stamp = self.view.stamp(&key);
+        if self.ownership.writing || if gone { stamp == 0 } else { self.alive() } {
             return;
         }
         if now < self.ownership.next_node {
             self.wake_at(self.ownership.next_node);
             return;
         }
-        let key = Key::Node(self.cfg.node.clone());
-        let txn = Txn {
-            when: vec![(key.clone(), self.view.stamp(&key))],
-            then: vec![Put { key, value: encode(&NodeRecord { run: self.run }), permit: Some(lease) }],
-        };
+        let value = if gone { None } else { encode(&NodeRecord { run: self.run }) };
+        let permit = (!gone).then_some(lease);
+        let txn = Txn { when: vec![(key.clone(), stamp)], then: vec![Put { key, value, permit }] };
         self.ownership.writing = true;
         self.budget.force(now, 1);
         self.ask_state(Purpose::Node, StateRequest::Txn(txn));
@@ -208,7 +210,7 @@
     fn pump_claims(&mut self) {
         let now = self.now.steady;
         self.ownership.next_claim = now + Micros::millis(1_000);
-        if !self.alive() {
+        if !self.alive() || self.reach.withdrawn() {
             return;
         }
         // At the very first start the others are about to appear as well.
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -534,6 +534,8 @@
         // give up on another node.
         let due = self.cfg.report + Micros(self.cfg.report.0 / 4) + Micros::millis(1_500);
         let unheard = Micros::millis(5_500);
+        // What nobody's worker can be heard by says nothing about the workers.
+        let deaf = self.deaf();
         let mut probes = Vec::new();
         for (m, s) in &mut self.sessions {
             let Some(tenure) = self.ownership.tenure(self.view.machine_slice(*m)) else {
@@ -561,7 +563,7 @@
                 for b in &record.tasks {
                     self.rounds.clear(*m, b.attempt(), Outcome::Again);
                 }
-            } else if fitness < Fitness::Lost && (s.word.is_some() || wordless > due + unheard) {
+            } else if !deaf && fitness < Fitness::Lost && (s.word.is_some() || wordless > due + unheard) {
                 // Its reports may have gone elsewhere, or this process may be behind: it is asked.
                 if !s.unreachable {
                     probes.push(*m);
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -19,4 +19,7 @@
     /// Changes a second that it spends at the state service, in thousandths.
     #[serde(default)]
     pub spends: u64,
+    /// Milliseconds since it last heard any worker; never if absent.
+    #[serde(default)]
+    pub heard_ms: Option<u64>,
 }
