--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -136,6 +136,21 @@
     pub refused: u64,
     /// Slices taken over.
     pub takeovers: u64,
+    /// Changes of groups, usage, jobs and their chunks, and ends of jobs in its rounds.
+    pub changes: Changes,
+}
+
+/// What rounds spent their changes on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Changes {
+    /// Groups of machines.
+    pub groups: u64,
+    /// Usage of teams.
+    pub usage: u64,
+    /// Jobs and their chunks.
+    pub jobs: u64,
+    /// Ends of jobs.
+    pub ends: u64,
 }
 
 /// One controller.
@@ -298,6 +313,11 @@
                 booked = c.booked,
                 cleared = c.cleared,
                 refused = c.refused,
+                groups = c.changes.groups,
+                usage = c.changes.usage,
+                jobs = c.changes.jobs,
+                ends = c.changes.ends,
+                waiting = self.rounds.waiting(),
                 "counts so far"
             );
         }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -43,7 +43,8 @@
     looking: bool,
     in_flight: bool,
     next: Micros,
-    clears: BTreeMap<(MachineId, Attempt), Outcome>,
+    /// Bookings to be cleared, with since when.
+    clears: BTreeMap<(MachineId, Attempt), (Outcome, Micros)>,
     marks: BTreeMap<MachineId, Mark>,
     adds: BTreeSet<MachineId>,
     /// Machines that are proven gone, by this process as the fleet's owner.
@@ -68,12 +69,12 @@
 
     /// Wants a booking cleared; false if that was wanted already. The first outcome stands: silence
     /// proves less than the end that was seen before it.
-    pub fn clear(&mut self, m: MachineId, a: Attempt, outcome: Outcome) -> bool {
+    pub fn clear(&mut self, m: MachineId, a: Attempt, outcome: Outcome, now: Micros) -> bool {
         self.looking = true;
         match self.clears.entry((m, a)) {
             Entry::Occupied(_) => false,
             Entry::Vacant(e) => {
-                e.insert(outcome);
+                e.insert((outcome, now));
                 true
             }
         }
@@ -84,6 +85,19 @@
         self.clears.contains_key(&(m, a))
     }
 
+    /// How many bookings wait to be cleared.
+    pub fn waiting(&self) -> usize {
+        self.clears.len()
+    }
+
+    /// Bookings to be cleared, those that have waited longest first: a round has room for few records,
+    /// and none may be left out for ever.
+    fn clears_in_order(&self) -> Vec<(MachineId, Attempt, Outcome)> {
+        let mut all: Vec<_> = self.clears.iter().map(|((m, a), (o, since))| (*since, *m, *a, *o)).collect();
+        all.sort_unstable_by_key(|(since, m, a, _)| (*since, *m, *a));
+        all.into_iter().map(|(_, m, a, o)| (m, a, o)).collect()
+    }
+
     /// Wants a machine's record changed; false if that was wanted already.
     pub fn mark(&mut self, m: MachineId, mark: Mark) -> bool {
         self.looking = true;
@@ -249,8 +263,8 @@
                 draft.remove(*m);
             }
         }
-        for ((m, a), outcome) in &self.rounds.clears {
-            if draft.clear(*m, *a, *outcome, view.machine_slice(*m)) {
+        for (m, a, outcome) in self.rounds.clears_in_order() {
+            if draft.clear(m, a, outcome, view.machine_slice(m)) {
                 cleared += 1;
             }
         }
@@ -307,8 +321,8 @@
             return None;
         }
         let mut cleared = 0;
-        for ((m, a), outcome) in &self.rounds.clears {
-            if draft.covers(*m, *a) && draft.clear(*m, *a, *outcome, self.view.machine_slice(*m)) {
+        for (m, a, outcome) in self.rounds.clears_in_order() {
+            if draft.covers(m, a) && draft.clear(m, a, outcome, self.view.machine_slice(m)) {
                 cleared += 1;
             }
         }
@@ -622,6 +636,15 @@
                 self.counters.commits += 1;
                 self.counters.booked += round.booked.len() as u64;
                 self.counters.cleared += round.cleared as u64;
+                let spent = &mut self.counters.changes;
+                spent.ends += round.ended.len() as u64;
+                for c in &round.changes {
+                    *match c.key {
+                        Key::Group(..) => &mut spent.groups,
+                        Key::Usage(_) => &mut spent.usage,
+                        _ => &mut spent.jobs,
+                    } += 1;
+                }
                 for (c, number) in &round.booked {
                     let k = self.view.jobs.get(&c.job).map(|j| self.view.job_slice(c.job, j.spec()));
                     let term = k.map_or(0, |k| self.view.stamp(&Key::Own(k)));
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -310,7 +310,7 @@
                         Ended::Error => Outcome::Failed,
                         _ => Outcome::Again,
                     };
-                    if self.rounds.clear(machine, *a, outcome) {
+                    if self.rounds.clear(machine, *a, outcome, now) {
                         tracing::info!(task = %a, machine = %machine, ?ended, "exited");
                         match outcome {
                             Outcome::Failed => {
@@ -383,7 +383,7 @@
                 // Any earlier launch answered an earlier report, and that answer has been taken or
                 // given up by now; only a direct one can still come.
                 if s.settled(&a) {
-                    self.rounds.clear(machine, a, Outcome::Again);
+                    self.rounds.clear(machine, a, Outcome::Again, now);
                 } else {
                     self.ownership.raise_later(k, s.unsettled_since, now);
                 }
@@ -561,7 +561,7 @@
                     self.rounds.mark(*m, Mark { fitness, dead: s.refused });
                 }
                 for b in &record.tasks {
-                    self.rounds.clear(*m, b.attempt(), Outcome::Again);
+                    self.rounds.clear(*m, b.attempt(), Outcome::Again, now);
                 }
             } else if !deaf && fitness < Fitness::Lost && (s.word.is_some() || wordless > due + unheard) {
                 // Its reports may have gone elsewhere, or this process may be behind: it is asked.
