Faulty jobs are told from faulty machines by both histories

A job that fails on several machines and completes nothing is suspect: tried with one task at a time, ever more seldom, it hires and preempts nothing, and what its failures made believe of machines is taken back.

--- a/src/bookkeeping/placement.rs
+++ b/src/bookkeeping/placement.rs
@@ -108,6 +108,8 @@
     pub preempts: bool,
     /// It is work within its team's guarantee.
     pub guaranteed: bool,
+    /// Takes what is free, and has nothing kept for it.
+    pub modest: bool,
     /// All or nothing.
     pub whole: bool,
     /// Machines to leave to others if any other will do.
@@ -307,7 +309,7 @@
 /// precedence do not nibble at them for ever.
 fn keep(slots: &mut [Slot<'_>], live: &[usize], ask: &Ask<'_>, missing: u64) {
     let mut missing = missing.min(ask.most);
-    if missing == 0 {
+    if missing == 0 || ask.modest {
         return;
     }
     let fits = |s: &Slot<'_>| ask.spec.need.fits(&s.all) && ask.takes(s);
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Whether it seems to be the job's own fault that its tasks fail: on several machines, and nothing
+    /// of it was completed, or far less than failed. A replica that goes on running completes nothing.
+    pub fn suspect(&self) -> bool {
+        let done = self.done();
+        let failures = if done == 0 && !self.spec().standing { 2 } else { done.saturating_add(4) };
+        self.record.avoid.len() >= 2 && self.record.errors >= failures
+    }
+
     /// What was asked for.
     pub fn spec(&self) -> &JobSpec {
         &self.record.spec
@@ -333,7 +341,7 @@
                     Some(Content::Usage(u)) => u,
                     _ => UsageRecord::default(),
                 };
-                self.put_usage(k, Stamped { value, stamp });
+                self.put_usage(k, Stamped { value, stamp }, touched);
                 touched.usage = true;
             }
             (Key::Job(id), Some(Content::Job(record))) => {
@@ -370,7 +378,7 @@
         }
     }
 
-    fn put_usage(&mut self, k: Slice, new: Stamped<UsageRecord>) {
+    fn put_usage(&mut self, k: Slice, new: Stamped<UsageRecord>, touched: &mut Touched) {
         let old = std::mem::replace(&mut self.usage[k], new);
         let ends = &self.usage[k].value.ends;
         for id in old.value.ends.keys().filter(|id| !ends.contains_key(id)) {
@@ -383,6 +391,7 @@
                 && job.ends != *set
             {
                 job.ends.clone_from(set);
+                touched.jobs.push(*id);
             }
         }
     }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -163,7 +163,9 @@
             .view
             .jobs
             .iter()
-            .filter(|(id, j)| !j.record.cancelled && self.view.pending_count(**id, j) > 0)
+            .filter(|(id, j)| {
+                !j.record.cancelled && !self.rounds.is_suspect(**id) && self.view.pending_count(**id, j) > 0
+            })
             .collect();
         jobs.sort_by_key(|(id, j)| (j.spec().urgency, self.latest_start(j), **id));
         let mut used: BTreeMap<&str, u64> = BTreeMap::new();
@@ -570,7 +572,10 @@
     fn pressed(&self, job: JobId) -> bool {
         self.view.jobs.get(&job).is_some_and(|j| {
             let latest = self.latest_start(j);
-            !j.record.cancelled && latest >= self.now.day && latest < self.now.day + self.cfg.lease
+            !j.record.cancelled
+                && !self.rounds.is_suspect(job)
+                && latest >= self.now.day
+                && latest < self.now.day + self.cfg.lease
         })
     }
 
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -217,6 +217,7 @@
             );
             touched.own = (0..self.view.own.len()).collect();
             touched.nodes = true;
+            touched.jobs = self.view.jobs.keys().copied().collect();
         }
         self.on_touched_view(&touched);
         self.rounds.on_read(epoch, self.reader.read);
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -33,9 +33,19 @@
     cleared: usize,
 }
 
-/// What comes first: work within its team's guarantee, then the urgent, then what must start
-/// soonest, then the oldest.
-type Precedence = (bool, Urgency, Micros, Micros);
+/// What comes first: what is not suspect, then work within its team's guarantee, then the urgent, then
+/// what must start soonest, then the oldest.
+type Precedence = (bool, bool, Urgency, Micros, Micros);
+
+/// A job that is suspected to fail wherever it runs.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    /// How often its tasks had failed when it was last looked at, and when that was.
+    errors: u32,
+    at: Micros,
+    /// How often it was tried in vain since the suspicion was formed.
+    tries: u32,
+}
 
 /// What waits to be committed.
 #[derive(Debug, Default)]
@@ -57,8 +67,7 @@
     hold_epoch: u64,
     /// No planning before a read that began after this call.
     hold_call: Option<u64>,
-    /// When a job's tasks last failed, and how often they had by then.
-    failed: BTreeMap<JobId, (u32, Micros)>,
+    suspects: BTreeMap<JobId, Suspicion>,
 }
 
 impl Rounds {
@@ -135,22 +144,43 @@
         self.releasing.clear();
     }
 
-    /// A job's tasks have failed this often.
-    pub fn failures(&mut self, job: JobId, errors: u32, now: Micros) {
-        let known = self.failed.entry(job).or_insert((0, now));
-        if known.0 < errors {
-            *known = (errors, now);
+    /// A job is suspect, and its tasks have failed this often; whether that is new.
+    pub fn suspect(&mut self, job: JobId, errors: u32, now: Micros) -> bool {
+        match self.suspects.entry(job) {
+            Entry::Vacant(e) => {
+                e.insert(Suspicion { errors, at: now, tries: 0 });
+                true
+            }
+            Entry::Occupied(mut e) => {
+                let s = e.get_mut();
+                if s.errors < errors {
+                    // Tasks that were started together fail together: that is one try.
+                    let again = now.since(s.at) > Self::pause(s.tries);
+                    *s = Suspicion { errors, at: now, tries: s.tries + u32::from(again) };
+                }
+                false
+            }
         }
     }
 
-    /// A job has ended.
-    pub fn job_gone(&mut self, job: JobId) {
-        self.failed.remove(&job);
+    /// A job has ended, or something of it was completed; whether it was suspect.
+    pub fn clear_suspect(&mut self, job: JobId) -> bool {
+        self.suspects.remove(&job).is_some()
+    }
+
+    /// Whether a job is suspect.
+    pub fn is_suspect(&self, job: JobId) -> bool {
+        self.suspects.contains_key(&job)
     }
 
     /// Whether some job waits for a pause to end.
     pub fn pausing(&self) -> bool {
-        !self.failed.is_empty()
+        !self.suspects.is_empty()
+    }
+
+    /// How long a suspect job waits for its next try.
+    fn pause(tries: u32) -> Micros {
+        Micros::secs(2 << tries.min(5))
     }
 
     /// A read has brought the copy forward.
@@ -308,7 +338,7 @@
             self.starts_at_once(j.spec())
                 && !j.record.cancelled
                 && self.owns(self.view.job_slice(*id, j.spec()))
-                && !self.backing_off(*id, j)
+                && !self.rounds.is_suspect(*id)
         };
         let waiting: u32 =
             self.view.jobs.iter().filter(|(id, j)| urgent(id, j)).map(|(id, j)| self.view.pending_count(*id, j)).sum();
@@ -462,7 +492,15 @@
                 continue;
             }
             let whole = spec.together() && none_booked && (spec.pieces as usize) <= Self::CLAIMS;
-            let cap = (Self::CLAIMS - wanted).max(if whole { spec.pieces as usize } else { 0 });
+            let suspect = self.rounds.is_suspect(id);
+            if suspect && !spec.standing && !none_booked {
+                continue;
+            }
+            let cap = match (suspect && !spec.together(), whole) {
+                (true, _) => 1,
+                (_, true) => (Self::CLAIMS - wanted).max(spec.pieces as usize),
+                _ => Self::CLAIMS - wanted,
+            };
             let tasks: Vec<u32> = self.view.pending(id, job).take(cap).collect();
             if mine {
                 wanted += tasks.len();
@@ -478,10 +516,11 @@
                 tasks,
                 zones: if spec.one_zone || spec.apart { self.zones_of(id) } else { BTreeMap::new() },
                 most,
-                price_limit: self.price_limit_among(job, &kinds),
+                price_limit: if suspect { self.fair_price(spec) } else { self.price_limit_among(job, &kinds) },
                 owner: k,
                 mine,
-                preempts: self.preempts(job),
+                preempts: self.preempts(job) && !suspect,
+                modest: suspect,
                 guaranteed: team.is_some_and(|t| t.has_share()) && !self.borrows(job, k),
                 whole,
                 avoid: &job.record.avoid,
@@ -545,12 +584,13 @@
     fn jobs_in_order(&self) -> Vec<(JobId, &Job)> {
         let mut jobs: Vec<(Precedence, JobId, &Job)> = Vec::new();
         for (id, job) in &self.view.jobs {
-            if job.record.cancelled || self.view.pending_count(*id, job) == 0 || self.backing_off(*id, job) {
+            if job.record.cancelled || self.view.pending_count(*id, job) == 0 || self.backing_off(*id) {
                 continue;
             }
             let spec = job.spec();
             let borrows = self.borrows(job, self.view.job_slice(*id, spec));
-            let key = (borrows, spec.urgency, self.latest_start(job), job.record.submitted);
+            let suspect = self.rounds.is_suspect(*id);
+            let key = (suspect, borrows, spec.urgency, self.latest_start(job), job.record.submitted);
             jobs.push((key, *id, job));
         }
         jobs.sort_by(|a, b| (&a.0, a.1).cmp(&(&b.0, b.1)));
@@ -617,14 +657,10 @@
         aim.unwrap_or(spec.guess * 2 + Micros::secs(300))
     }
 
-    /// A job that fails wherever it runs is retried ever more slowly.
-    fn backing_off(&self, id: JobId, job: &Job) -> bool {
-        let failures = job.record.errors.saturating_sub(job.done());
-        if failures < 4 {
-            return false;
-        }
-        let pause = Micros::secs(1 << (failures - 3).min(6));
-        self.rounds.failed.get(&id).is_some_and(|(_, at)| self.now.steady.since(*at) < pause)
+    /// A job that fails wherever it runs is tried ever more seldom, until its user ends it.
+    fn backing_off(&self, id: JobId) -> bool {
+        let now = self.now.steady;
+        self.rounds.suspects.get(&id).is_some_and(|s| now.since(s.at) < Rounds::pause(s.tries))
     }
 
     pub(super) fn on_round(&mut self, round: InFlight, result: Result<StateReply, CallError>) {
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -313,6 +313,8 @@
                     if self.rounds.clear(machine, *a, outcome, now) {
                         tracing::info!(task = %a, machine = %machine, ?ended, "exited");
                         match outcome {
+                            // That a suspect job fails says nothing about the machine.
+                            Outcome::Failed if self.rounds.is_suspect(a.task.job) => {}
                             Outcome::Failed => {
                                 s.failed_jobs.insert(a.task.job);
                                 // One job that fails may be to blame itself; two point at the machine.
@@ -419,12 +421,21 @@
 
     pub(super) fn on_job_changed(&mut self, job: JobId) {
         match self.view.jobs.get(&job) {
-            None => return self.rounds.job_gone(job),
+            None => {
+                self.rounds.clear_suspect(job);
+                return;
+            }
             Some(j) => {
-                if j.record.errors > 0 {
-                    self.rounds.failures(job, j.record.errors, self.now.steady);
+                let (errors, cancelled) = (j.record.errors, j.record.cancelled);
+                if j.suspect() {
+                    if self.rounds.suspect(job, errors, self.now.steady) {
+                        tracing::info!(%job, errors, "suspect: its tasks fail on several machines and none is completed");
+                        self.lift_marks(job);
+                    }
+                } else if self.rounds.clear_suspect(job) {
+                    tracing::info!(%job, "no longer suspect");
                 }
-                if !j.record.cancelled {
+                if !cancelled {
                     return;
                 }
             }
@@ -436,6 +447,16 @@
         }
     }
 
+    /// Takes back what a job's failures made believe of machines.
+    fn lift_marks(&mut self, job: JobId) {
+        for (m, s) in &mut self.sessions {
+            if s.failed_jobs.remove(&job) && s.faulty && s.failed_jobs.len() < 2 {
+                tracing::info!(machine = %m, %job, "not faulty after all, it was the job");
+                s.faulty = false;
+            }
+        }
+    }
+
     pub(super) fn pump_sessions(&mut self) {
         let now = self.now.steady;
         for m in std::mem::take(&mut self.to_command) {
