--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -448,6 +448,13 @@
         true
     }
 
+    /// Moves what the usage record keeps of a job's ends into the job's own record.
+    pub fn settle(&mut self, id: JobId) -> bool {
+        let Some(job) = self.view.jobs.get(&id) else { return true };
+        let k = self.view.job_slice(id, job.spec());
+        self.reserve(Needs { usage: Some(k), job: Some(id), conditions: &[Key::Own(k)], ..Needs::default() })
+    }
+
     /// Books a task.
     pub fn book(&mut self, m: MachineId, a: Attempt) -> bool {
         let id = a.task.job;
@@ -457,7 +464,7 @@
         };
         let spec = job.spec();
         let k = view.job_slice(id, spec);
-        let conditions = &[Key::Own(k), Key::Job(id)];
+        let conditions = &[Key::Own(k), Key::Job(id), Key::Meta];
         let size = GroupRecord::booking_bytes(&a, &spec.bundle, spec.size);
         if !self.reserve(Needs { groups: &[at], usage: Some(k), job: None, conditions })
             || !self.grow(at, size, SPARE_BYTES)
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -4,6 +4,7 @@
 use crate::bookkeeping::ids::Slice;
 use crate::bookkeeping::records::{Key, LAYOUT, MetaRecord, NodeRecord, OwnRecord};
 use crate::bookkeeping::time::Micros;
+use crate::protocol::settings::Team;
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
 use std::collections::BTreeMap;
 
@@ -85,6 +86,7 @@
             self.pump_meta();
             return;
         }
+        self.pump_teams();
         self.pump_node();
         if now >= self.ownership.next_claim && !self.ownership.claiming {
             self.pump_claims();
@@ -168,6 +170,51 @@
         self.ask_state(Purpose::Meta, StateRequest::Txn(txn));
     }
 
+    /// Whether a team of the deploy file has a guarantee or a limit, but no slice of its own yet: a later
+    /// file added it. Its jobs are spread over all slices, so nobody could keep its limit.
+    pub(super) fn unplaced(&self, team: &Team) -> bool {
+        team.has_share() && self.view.meta.value.as_ref().is_some_and(|m| !m.teams.contains_key(&team.name))
+    }
+
+    /// Gives such teams a slice, once nothing of theirs is booked or kept in any: nothing is booked for
+    /// them meanwhile, and what was planned before then fails, since bookings are conditional on the
+    /// teams' slices.
+    fn pump_teams(&mut self) {
+        let now = self.now.steady;
+        let Some(meta) = &self.view.meta.value else { return };
+        let mut record = meta.clone();
+        for t in self.cfg.teams.iter().filter(|t| self.unplaced(t)) {
+            let settled = self.view.usage.iter().all(|u| {
+                let kept =
+                    u.value.ends.keys().any(|id| self.view.jobs.get(id).is_some_and(|j| j.spec().crew == t.name));
+                u.value.of(&t.name) == (0, 0) && !kept
+            });
+            if settled {
+                let k = record.teams.len() % record.slices.max(1);
+                record.teams.insert(t.name.clone(), k);
+            }
+        }
+        if record.teams.len() == meta.teams.len() {
+            return;
+        }
+        if now < self.ownership.meta_at {
+            self.wake_at(self.ownership.meta_at);
+            return;
+        }
+        self.ownership.meta_at = now + Micros::millis(500);
+        let value = encode(&record);
+        if value.as_ref().is_none_or(|v| v.get().len() > self.cfg.value_bytes) {
+            return;
+        }
+        tracing::info!(teams = ?record.teams, "teams of a later deploy file get slices");
+        let txn = Txn {
+            when: vec![(Key::Meta, self.view.meta.stamp)],
+            then: vec![Put { key: Key::Meta, value, permit: None }],
+        };
+        self.budget.force(now, 1);
+        self.ask_state(Purpose::Meta, StateRequest::Txn(txn));
+    }
+
     fn alive(&self) -> bool {
         let mine = self.view.nodes.get(&self.cfg.node);
         mine.is_some_and(|n| n.value.run == self.run)
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -326,6 +326,13 @@
         for id in ended {
             draft.end_cancelled(id);
         }
+        for (id, _) in view
+            .jobs
+            .iter()
+            .filter(|(id, j)| !j.ends.is_empty() && self.unplaced_job(j) && self.owns(view.job_slice(**id, j.spec())))
+        {
+            draft.settle(*id);
+        }
         let booked = self.book(&mut draft, false);
         (!draft.is_empty()).then(|| Drafted { commit: draft.commit(), booked, cleared })
     }
@@ -339,6 +346,7 @@
                 && !j.record.cancelled
                 && self.owns(self.view.job_slice(*id, j.spec()))
                 && !self.rounds.is_suspect(*id)
+                && !self.unplaced_job(j)
         };
         let waiting: u32 =
             self.view.jobs.iter().filter(|(id, j)| urgent(id, j)).map(|(id, j)| self.view.pending_count(*id, j)).sum();
@@ -580,11 +588,17 @@
         zones
     }
 
+    /// Whether a job's team has no slice yet, see [`Controller::unplaced`].
+    pub(super) fn unplaced_job(&self, job: &Job) -> bool {
+        self.cfg.team(&job.spec().crew).is_some_and(|t| self.unplaced(t))
+    }
+
     /// All jobs with tasks to place, the most pressing first.
     fn jobs_in_order(&self) -> Vec<(JobId, &Job)> {
         let mut jobs: Vec<(Precedence, JobId, &Job)> = Vec::new();
         for (id, job) in &self.view.jobs {
-            if job.record.cancelled || self.view.pending_count(*id, job) == 0 || self.backing_off(*id) {
+            let none = job.record.cancelled || self.view.pending_count(*id, job) == 0;
+            if none || self.backing_off(*id) || self.unplaced_job(job) {
                 continue;
             }
             let spec = job.spec();
--- a/tests/runner/check.rs
+++ b/tests/runner/check.rs
@@ -7,6 +7,7 @@
 #[derive(Clone, Debug)]
 pub struct Asked {
     pub team: String,
+    pub lane: String,
     pub cores: f64,
     pub pieces: u32,
     pub builds: Option<Vec<String>>,
@@ -35,6 +36,14 @@
     told: BTreeMap<u64, (&'static str, u64)>,
     told_cancelled: BTreeMap<u64, u64>,
     asked_abort: BTreeSet<u64>,
+    done_at: BTreeMap<u64, u64>,
+    /// When jobs were first submitted, and how long their tasks waited for their first start.
+    pub submitted: BTreeMap<u64, u64>,
+    pub waited: BTreeMap<Task, u64>,
+    pub starts: BTreeMap<u64, u64>,
+    /// Since when all polls for a job have failed, and how many polls for others were answered since.
+    failing: BTreeMap<u64, (u64, u64)>,
+    pub polls: (u64, u64),
     pub started: u64,
 }
 
@@ -66,6 +75,10 @@
             }
             Deed::Started(t) => {
                 self.started += 1;
+                *self.starts.entry(t.0).or_default() += 1;
+                if let Some(at) = self.submitted.get(&t.0) {
+                    self.waited.entry(*t).or_insert(now - at);
+                }
                 if let Some(other) = self.on.insert(*t, machine)
                     && other != machine
                 {
@@ -125,6 +138,22 @@
         self.asked_abort.insert(job);
     }
 
+    /// A poll was answered with a state or a 404, or it failed.
+    pub fn polled(&mut self, now: u64, job: u64, answered: bool) {
+        self.polls.0 += 1;
+        self.polls.1 += u64::from(answered);
+        if answered || !self.is_accepted(job) {
+            self.failing.remove(&job);
+            return;
+        }
+        let (since, before) = *self.failing.entry(job).or_insert((now, self.polls.1));
+        let others = self.polls.1 - before;
+        if now - since > 90_000_000 && others > 20 {
+            self.rule(now, format!("forgotten: every poll for req-{job:06} has failed for 90 s"));
+            self.failing.remove(&job);
+        }
+    }
+
     /// A user was answered. `kind`: submit, query or abort.
     pub fn told(&mut self, now: u64, asked: u64, kind: &str, job: u64, status: u16, state: Option<&str>) {
         // A request that began before the job was accepted may be answered from before it.
@@ -154,6 +183,9 @@
                 } else if before != state && at <= asked {
                     self.rule(now, format!("went_back: req-{job:06} was {before}, is {state}"));
                 }
+                if state == "done" {
+                    self.done_at.entry(job).or_insert(now);
+                }
                 if state == "cancelled" {
                     self.told_cancelled.entry(job).or_insert(now);
                 }
@@ -168,6 +200,15 @@
         self.told.get(&job).is_some_and(|t| t.0 == "done")
     }
 
+    /// The jobs that are done, with when that was first told, in seconds.
+    pub fn done(&self) -> Vec<(u64, u64)> {
+        self.done_at.iter().take(12).map(|(j, t)| (*j, t / 1_000_000)).collect()
+    }
+
+    pub fn done_at(&self, job: u64) -> Option<u64> {
+        self.done_at.get(&job).copied()
+    }
+
     pub fn is_cancelled(&self, job: u64) -> bool {
         self.told.get(&job).is_some_and(|t| t.0 == "cancelled")
     }
--- a/tests/runner/cloud.rs
+++ b/tests/runner/cloud.rs
@@ -19,6 +19,8 @@
     hires: BTreeMap<String, Value>,
     lag: u64,
     pub out_until: u64,
+    /// Boots take so many times as long, until then.
+    pub slow: (f64, u64),
 }
 
 pub fn name(id: u64) -> String {
@@ -31,7 +33,7 @@
 
 impl Cloud {
     pub fn new(types: Vec<TypeSpec>, lag: u64) -> Cloud {
-        Cloud { types, hosts: BTreeMap::new(), hires: BTreeMap::new(), lag, out_until: 0 }
+        Cloud { types, hosts: BTreeMap::new(), hires: BTreeMap::new(), lag, out_until: 0, slow: (1.0, 0) }
     }
 
     pub fn type_of(&self, host: u64) -> &TypeSpec {
@@ -116,7 +118,8 @@
         for _ in 0..n {
             let i = self.hosts.keys().last().map_or(1, |l| l + 1);
             let stuck = dice() < self.types[build].stuck;
-            let boot = self.types[build].boot * (0.6 + 0.9 * dice());
+            let factor = if now < self.slow.1 { self.slow.0 } else { 1.0 };
+            let boot = self.types[build].boot * (0.6 + 0.9 * dice()) * factor;
             let up_at = (!stuck).then_some(now + (boot * 1e6) as u64);
             let host = Host { build, yard: yard.clone(), spot, rented: now, up_at, gone_at: None };
             self.hosts.insert(i, host);
--- /dev/null
+++ b/tests/runner/machines.rs
@@ -0,0 +1,203 @@
+//! Machines and their workers: boots, reports, answers, direct commands.
+
+use super::check::MachineInfo;
+use super::script::Party;
+use super::worker::{Deed, Worker};
+use super::{Ask, Happening, Message, World};
+use cometlead::coordination::CallId;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+impl World {
+    pub(super) fn after_cloud(&mut self, before: &[u64]) {
+        let new: Vec<(u64, Option<u64>)> =
+            self.cloud.hosts.iter().filter(|(i, _)| !before.contains(i)).map(|(i, h)| (*i, h.up_at)).collect();
+        for (i, up) in new {
+            if let Some(up) = up {
+                self.at(up, Happening::Boot(i));
+            }
+        }
+        let now = self.now;
+        let gone: Vec<u64> =
+            self.workers.keys().filter(|i| self.cloud.hosts[i].gone_at.is_some_and(|g| g <= now)).copied().collect();
+        for i in gone {
+            self.machine_gone(i);
+        }
+    }
+
+    pub(super) fn machine_gone(&mut self, i: u64) {
+        if let Some(mut w) = self.workers.remove(&i) {
+            let mut deeds = Vec::new();
+            w.kill_all(&mut deeds);
+            self.lost_leases += w.lost_leases;
+            self.deeds(i, deeds);
+        }
+    }
+
+    pub(super) fn direct(&mut self, machine: u64, body: &[u8], deeds: &mut Vec<Deed>) -> Option<(u16, Value)> {
+        let now = self.now;
+        let w = self.workers.get_mut(&machine)?;
+        if now < w.hung_until {
+            // Carried out when the machine goes on, if token and session still match.
+            let body = body.to_vec();
+            let until = w.hung_until;
+            let ask = Ask::Direct(machine, body);
+            let late = Message::Ask { node: usize::MAX, life: 0, call: CallId(0), ask };
+            self.at(until + 2_000, Happening::Deliver(Box::new(late)));
+            return None;
+        }
+        w.check_lease(now, deeds);
+        let v: Value = serde_json::from_slice(body).ok()?;
+        let (baton, shift) = (v["baton"].as_u64()?, v["shift"].as_u64()?);
+        let good = baton >= w.baton && shift == w.shift;
+        if good {
+            w.changed |= baton > w.baton;
+            w.baton = w.baton.max(baton);
+            w.execute(now, &v["orders"], &self.jobs, deeds);
+        }
+        let report = w.report(now);
+        let next = w.next_deadline();
+        self.at(next, Happening::Worker(machine));
+        Some((if good { 200 } else { 409 }, report))
+    }
+
+    pub(super) fn deeds(&mut self, machine: u64, deeds: Vec<Deed>) {
+        let info = self.infos[&machine].clone();
+        for d in deeds {
+            tracing::debug!(machine, deed = ?d, "worker");
+            self.check.deed(self.now, machine, &info, &d, &self.infos);
+        }
+    }
+
+    /// A worker's own time has come.
+    pub(super) fn worker(&mut self, machine: u64) {
+        let now = self.now;
+        let nodes = self.script.nodes;
+        let report = (self.script.report * 1e6) as u64;
+        let jitter = 0.75 + 0.5 * self.dice();
+        let Some(w) = self.workers.get_mut(&machine) else { return };
+        let mut deeds = Vec::new();
+        w.check_lease(now, &mut deeds);
+        if now < w.hung_until {
+            // Its tasks do not run, but its lease ends all the same.
+            let next = w.next_deadline();
+            self.at(next.max(now + 1_000), Happening::Worker(machine));
+            return self.deeds(machine, deeds);
+        }
+        w.advance(now, &self.jobs, &mut deeds);
+        let mut message = None;
+        if w.waiting.is_none() && now >= w.report_at() {
+            w.changed = false;
+            w.last_report = now;
+            w.next_report = now + (report as f64 * jitter) as u64;
+            let body = w.report(now).to_string().into_bytes();
+            w.waiting = Some((w.tally, now, w.shift));
+            let (node, sent) = (w.node % nodes, now);
+            message = Some((node, Message::Report { machine, node, sent, body }));
+        }
+        let next = w.next_deadline();
+        self.at(next.max(now + 1_000), Happening::Worker(machine));
+        self.deeds(machine, deeds);
+        if let Some((node, m)) = message {
+            self.at(now + 4_000_000, Happening::WorkerTimeout(machine, now));
+            if self.nodes[node].is_some() {
+                self.send(Party::Machine(machine), Party::Node(node), false, m);
+            }
+        }
+    }
+
+    pub(super) fn next_node(&mut self, machine: u64, wait: u64) {
+        let now = self.now;
+        let nodes = self.script.nodes;
+        if let Some(w) = self.workers.get_mut(&machine) {
+            w.waiting = None;
+            w.node = (w.node + 1) % nodes;
+            w.next_report = now + wait;
+            w.changed = false;
+            self.at(now + wait, Happening::Worker(machine));
+        }
+    }
+
+    pub(super) fn replied(&mut self, machine: u64, sent: u64, shift: u64, status: u16, body: &[u8]) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(&machine) else { return };
+        // A hanging machine takes answers when it goes on; they are too old by then.
+        if now < w.hung_until || w.waiting.is_none_or(|(_, s, _)| s != sent) || now > sent + 4_000_000 {
+            return;
+        }
+        let mut deeds = Vec::new();
+        w.check_lease(now, &mut deeds);
+        w.waiting = None;
+        match status {
+            200 => {
+                let v: Value = serde_json::from_slice(body).expect("orders");
+                let baton = v["baton"].as_u64().unwrap_or(0);
+                if baton >= w.baton && shift == w.shift {
+                    w.changed |= baton > w.baton;
+                    w.baton = baton;
+                    w.renewed = w.renewed.max(sent);
+                    w.execute(now, &v["orders"], &self.jobs, &mut deeds);
+                }
+            }
+            421 => {
+                let v: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+                let to = v["answerTo"].as_str().and_then(|n| n.strip_prefix('n')?.parse::<usize>().ok());
+                match to.filter(|n| *n != w.node) {
+                    Some(n) => {
+                        w.node = n;
+                        w.next_report = now + 100_000;
+                    }
+                    None => {
+                        self.deeds(machine, deeds);
+                        return self.next_node(machine, 1_000_000);
+                    }
+                }
+            }
+            _ => {
+                self.deeds(machine, deeds);
+                return self.next_node(machine, 1_000_000);
+            }
+        }
+        let next = w.next_deadline();
+        self.at(next, Happening::Worker(machine));
+        self.deeds(machine, deeds);
+    }
+
+    pub(super) fn boot(&mut self, i: u64) {
+        let host = &self.cloud.hosts[&i];
+        if host.gone_at.is_some() {
+            return;
+        }
+        let t = self.cloud.type_of(i);
+        let (yard, spot) = (host.yard.clone(), host.spot);
+        let info = MachineInfo { build: t.name.clone(), yard: yard.clone(), spot };
+        let node = (i as usize * 7) % self.script.nodes;
+        let w = Worker {
+            id: i,
+            build: t.name.clone(),
+            yard,
+            spot,
+            cores: t.cores,
+            mem: t.mem,
+            shift: 1,
+            tally: 0,
+            baton: 0,
+            recall_at: None,
+            pieces: BTreeMap::new(),
+            images: Vec::new(),
+            renewed: self.now,
+            lease: (self.script.lease * 1e6) as u64,
+            hung_until: 0,
+            faulty: false,
+            node,
+            waiting: None,
+            next_report: self.now,
+            last_report: 0,
+            changed: false,
+            lost_leases: 0,
+        };
+        self.workers.insert(i, w);
+        self.infos.insert(i, info);
+        self.at(self.now, Happening::Worker(i));
+    }
+}
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -5,12 +5,14 @@
 
 pub mod check;
 pub mod cloud;
+mod machines;
 pub mod script;
 pub mod state;
+mod users;
+mod verdict;
 pub mod worker;
 
-use check::{Asked, Checker, MachineInfo};
-use cometlead::bookkeeping::records::GroupRecord;
+use check::{Checker, MachineInfo};
 use cometlead::bookkeeping::time::Micros;
 use cometlead::coordination::{CallId, Controller, Counters, Effect, Event, Now};
 use cometlead::protocol::cloud as cloud_wire;
@@ -22,12 +24,12 @@
 use cometlead::protocol::worker::{Report, ReportAnswer, elsewhere_body, orders_body};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use script::{Expect, Mode, Party, Script, Step};
+use script::{Mode, Party, Script, Step};
 use serde_json::{Value, json};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
-use worker::{Deed, JobInfo, Worker};
+use worker::{JobInfo, Worker};
 
 const DAY: u64 = 1_700_000_000_000_000;
 
@@ -97,6 +99,7 @@
     WorkerTimeout(u64, u64),
     UserTimeout(usize, u32),
     UserAgain(usize),
+    Poll { job: u64, count: u64, every: u64, until: u64 },
     Boot(u64),
     Gone(u64),
     Restart(usize),
@@ -121,7 +124,7 @@
     attempt: u32,
     asked: u64,
     waiting: bool,
-    polls: bool,
+    repeats: bool,
 }
 
 struct Node {
@@ -168,6 +171,8 @@
     lost_leases: u64,
     most_groups: u64,
     throttles: u64,
+    /// Controllers that have not read the newest deploy file.
+    newer: BTreeSet<usize>,
 }
 
 fn settings(s: &Script, n: usize) -> Arc<Settings> {
@@ -179,7 +184,7 @@
         .teams
         .iter()
         .map(|(name, g, m)| json!({"name": name, "cpus": g, "cpus_max": m, "gpus": 0, "gpus_max": 0}))
-        .chain([json!({"name": "free"})])
+        .chain(s.teams.iter().all(|t| t.0 != "free").then(|| json!({"name": "free"})))
         .collect();
     let file = json!({
         "node": format!("n{n}"), "zone": "a", "bind": format!("10.0.0.{}:80", n + 1),
@@ -224,6 +229,7 @@
             lost_leases: 0,
             most_groups: 0,
             throttles: 0,
+            newer: BTreeSet::new(),
             script,
         };
         for n in 0..w.script.nodes {
@@ -249,6 +255,11 @@
     }
 
     fn start(&mut self, n: usize) {
+        if self.newer.remove(&n) && self.newer.is_empty() {
+            // From now on everybody knows the limits.
+            let limits = self.script.teams.iter().map(|(name, _, most)| (name.clone(), *most));
+            self.check.limits = limits.collect();
+        }
         self.lives += 1;
         let seed = self.rng.random();
         let operator = OperatorSettings { slices: self.script.slices, ..OperatorSettings::default() };
@@ -289,6 +300,7 @@
                 Mode::Drop => return,
                 Mode::Deaf if answer => return,
                 Mode::Deaf => {}
+                Mode::Reset => return self.reset(message),
                 Mode::Hold => at = at.max(f.until + 1_000 + at - now),
                 Mode::Repeat => twice = !command,
                 Mode::LateCommands if command => at = at.max(f.until + 1_000),
@@ -306,6 +318,21 @@
         self.at(at, Happening::Deliver(Box::new(message)));
     }
 
+    /// The sender learns at once that its connection is gone; who has been sent an answer does too.
+    fn reset(&mut self, message: Message) {
+        let soon = self.now + 2_000;
+        match message {
+            Message::Ask { node, life, call, ask } | Message::Answer { node, life, call, ask, .. } => {
+                let none = Message::Answer { node, life, call, ask, answer: None };
+                self.at(soon, Happening::Deliver(Box::new(none)));
+            }
+            Message::Report { machine, sent, .. } | Message::Reply { machine, sent, .. } => {
+                self.at(soon, Happening::WorkerTimeout(machine, sent));
+            }
+            _ => {}
+        }
+    }
+
     fn event(&mut self, n: usize, event: Event) -> Option<ReportAnswer> {
         let now = self.time(n);
         let node = self.nodes[n].as_mut()?;
@@ -513,277 +540,6 @@
         }
     }
 
-    fn after_cloud(&mut self, before: &[u64]) {
-        let new: Vec<(u64, Option<u64>)> =
-            self.cloud.hosts.iter().filter(|(i, _)| !before.contains(i)).map(|(i, h)| (*i, h.up_at)).collect();
-        for (i, up) in new {
-            if let Some(up) = up {
-                self.at(up, Happening::Boot(i));
-            }
-        }
-        let now = self.now;
-        let gone: Vec<u64> =
-            self.workers.keys().filter(|i| self.cloud.hosts[i].gone_at.is_some_and(|g| g <= now)).copied().collect();
-        for i in gone {
-            self.machine_gone(i);
-        }
-    }
-
-    fn machine_gone(&mut self, i: u64) {
-        if let Some(mut w) = self.workers.remove(&i) {
-            let mut deeds = Vec::new();
-            w.kill_all(&mut deeds);
-            self.lost_leases += w.lost_leases;
-            self.deeds(i, deeds);
-        }
-    }
-
-    fn direct(&mut self, machine: u64, body: &[u8], deeds: &mut Vec<Deed>) -> Option<(u16, Value)> {
-        let now = self.now;
-        let w = self.workers.get_mut(&machine)?;
-        if now < w.hung_until {
-            // Carried out when the machine goes on, if token and session still match.
-            let body = body.to_vec();
-            let until = w.hung_until;
-            let ask = Ask::Direct(machine, body);
-            let late = Message::Ask { node: usize::MAX, life: 0, call: CallId(0), ask };
-            self.at(until + 2_000, Happening::Deliver(Box::new(late)));
-            return None;
-        }
-        w.check_lease(now, deeds);
-        let v: Value = serde_json::from_slice(body).ok()?;
-        let (baton, shift) = (v["baton"].as_u64()?, v["shift"].as_u64()?);
-        let good = baton >= w.baton && shift == w.shift;
-        if good {
-            w.changed |= baton > w.baton;
-            w.baton = w.baton.max(baton);
-            w.execute(now, &v["orders"], &self.jobs, deeds);
-        }
-        let report = w.report(now);
-        let next = w.next_deadline();
-        self.at(next, Happening::Worker(machine));
-        Some((if good { 200 } else { 409 }, report))
-    }
-
-    fn deeds(&mut self, machine: u64, deeds: Vec<Deed>) {
-        let info = self.infos[&machine].clone();
-        for d in deeds {
-            tracing::debug!(machine, deed = ?d, "worker");
-            self.check.deed(self.now, machine, &info, &d, &self.infos);
-        }
-    }
-
-    /// A worker's own time has come.
-    fn worker(&mut self, machine: u64) {
-        let now = self.now;
-        let nodes = self.script.nodes;
-        let report = (self.script.report * 1e6) as u64;
-        let jitter = 0.75 + 0.5 * self.dice();
-        let Some(w) = self.workers.get_mut(&machine) else { return };
-        let mut deeds = Vec::new();
-        w.check_lease(now, &mut deeds);
-        if now < w.hung_until {
-            // Its tasks do not run, but its lease ends all the same.
-            let next = w.next_deadline();
-            self.at(next.max(now + 1_000), Happening::Worker(machine));
-            return self.deeds(machine, deeds);
-        }
-        w.advance(now, &self.jobs, &mut deeds);
-        let mut message = None;
-        if w.waiting.is_none() && now >= w.report_at() {
-            w.changed = false;
-            w.last_report = now;
-            w.next_report = now + (report as f64 * jitter) as u64;
-            let body = w.report(now).to_string().into_bytes();
-            w.waiting = Some((w.tally, now, w.shift));
-            let (node, sent) = (w.node % nodes, now);
-            message = Some((node, Message::Report { machine, node, sent, body }));
-        }
-        let next = w.next_deadline();
-        self.at(next.max(now + 1_000), Happening::Worker(machine));
-        self.deeds(machine, deeds);
-        if let Some((node, m)) = message {
-            self.at(now + 4_000_000, Happening::WorkerTimeout(machine, now));
-            if self.nodes[node].is_some() {
-                self.send(Party::Machine(machine), Party::Node(node), false, m);
-            }
-        }
-    }
-
-    fn next_node(&mut self, machine: u64, wait: u64) {
-        let now = self.now;
-        let nodes = self.script.nodes;
-        if let Some(w) = self.workers.get_mut(&machine) {
-            w.waiting = None;
-            w.node = (w.node + 1) % nodes;
-            w.next_report = now + wait;
-            w.changed = false;
-            self.at(now + wait, Happening::Worker(machine));
-        }
-    }
-
-    fn replied(&mut self, machine: u64, sent: u64, shift: u64, status: u16, body: &[u8]) {
-        let now = self.now;
-        let Some(w) = self.workers.get_mut(&machine) else { return };
-        // A hanging machine takes answers when it goes on; they are too old by then.
-        if now < w.hung_until || w.waiting.is_none_or(|(_, s, _)| s != sent) || now > sent + 4_000_000 {
-            return;
-        }
-        let mut deeds = Vec::new();
-        w.check_lease(now, &mut deeds);
-        w.waiting = None;
-        match status {
-            200 => {
-                let v: Value = serde_json::from_slice(body).expect("orders");
-                let baton = v["baton"].as_u64().unwrap_or(0);
-                if baton >= w.baton && shift == w.shift {
-                    w.changed |= baton > w.baton;
-                    w.baton = baton;
-                    w.renewed = w.renewed.max(sent);
-                    w.execute(now, &v["orders"], &self.jobs, &mut deeds);
-                }
-            }
-            421 => {
-                let v: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
-                let to = v["answerTo"].as_str().and_then(|n| n.strip_prefix('n')?.parse::<usize>().ok());
-                match to.filter(|n| *n != w.node) {
-                    Some(n) => {
-                        w.node = n;
-                        w.next_report = now + 100_000;
-                    }
-                    None => {
-                        self.deeds(machine, deeds);
-                        return self.next_node(machine, 1_000_000);
-                    }
-                }
-            }
-            _ => {
-                self.deeds(machine, deeds);
-                return self.next_node(machine, 1_000_000);
-            }
-        }
-        let next = w.next_deadline();
-        self.at(next, Happening::Worker(machine));
-        self.deeds(machine, deeds);
-    }
-
-    fn boot(&mut self, i: u64) {
-        let host = &self.cloud.hosts[&i];
-        if host.gone_at.is_some() {
-            return;
-        }
-        let t = self.cloud.type_of(i);
-        let (yard, spot) = (host.yard.clone(), host.spot);
-        let info = MachineInfo { build: t.name.clone(), yard: yard.clone(), spot };
-        let node = (i as usize * 7) % self.script.nodes;
-        let w = Worker {
-            id: i,
-            build: t.name.clone(),
-            yard,
-            spot,
-            cores: t.cores,
-            mem: t.mem,
-            shift: 1,
-            tally: 0,
-            baton: 0,
-            recall_at: None,
-            pieces: BTreeMap::new(),
-            images: Vec::new(),
-            renewed: self.now,
-            lease: (self.script.lease * 1e6) as u64,
-            hung_until: 0,
-            faulty: false,
-            node,
-            waiting: None,
-            next_report: self.now,
-            last_report: 0,
-            changed: false,
-            lost_leases: 0,
-        };
-        self.workers.insert(i, w);
-        self.infos.insert(i, info);
-        self.at(self.now, Happening::Worker(i));
-    }
-
-    fn submit(&mut self, job: u64, f: &BTreeMap<String, String>, node: Option<usize>) {
-        let text = |k: &str, default: &str| f.get(k).cloned().unwrap_or(default.to_owned());
-        let real = |k: &str, default: f64| f.get(k).map_or(default, |v| v.parse().expect("a number"));
-        let flag = |k: &str, default: bool| f.get(k).map_or(default, |v| v == "yes");
-        let run = real("run", 10.0);
-        let pieces = real("pieces", 1.0) as u32;
-        let builds: Option<Vec<String>> = f.get("builds").map(|b| b.split(',').map(str::to_owned).collect());
-        let asked = Asked {
-            team: text("team", "free"),
-            cores: real("cores", 1.0),
-            pieces,
-            builds: builds.clone(),
-            yard: f.get("yard").cloned(),
-            spot: flag("spot", true),
-            one_zone: flag("one_zone", false),
-            apart: flag("apart", false),
-        };
-        let shape = text("shape", "sweep");
-        let body = json!({"nameId": format!("req-{job:06}"), "lane": text("lane", "lane"), "crew": asked.team,
-            "shape": shape, "urgency": text("urgency", "standard"), "pieces": pieces, "cores": asked.cores,
-            "accelerators": 0, "memGb": real("mem", 1.0), "builds": builds, "yard": asked.yard,
-            "oneZone": asked.one_zone, "apart": asked.apart, "loaners": asked.spot, "bundle": text("image", "img"),
-            "sizeGb": real("size", 0.5), "guessS": real("guess", run), "bookmarkS": real("bookmark", 0.0),
-            "stashS": real("stash", 0.0), "dueS": f.get("due").map(|d| d.parse::<f64>().expect("a number"))});
-        let info = JobInfo {
-            cores: asked.cores,
-            mem: real("mem", 1.0),
-            run: (run * 1e6) as u64,
-            image: text("image", "img"),
-            size: real("size", 0.5),
-            pieces,
-            standing: shape == "standing",
-            fails: flag("fails", false),
-            saves: real("bookmark", 0.0) > 0.0,
-            stash: real("stash", 0.0),
-        };
-        self.jobs.entry(job).or_insert(info);
-        self.check.asked.entry(job).or_insert(asked);
-        self.user(job, "submit", body.to_string().into_bytes(), node);
-    }
-
-    fn user(&mut self, job: u64, kind: &'static str, body: Vec<u8>, node: Option<usize>) {
-        self.users.push(User { job, kind, body, node, attempt: 0, asked: 0, waiting: false, polls: kind == "query" });
-        let user = self.users.len() - 1;
-        self.try_user(user);
-    }
-
-    fn try_user(&mut self, user: usize) {
-        let alive: Vec<usize> = (0..self.script.nodes).filter(|n| self.nodes[*n].is_some()).collect();
-        let pick = (self.dice() * alive.len() as f64) as usize;
-        let u = &mut self.users[user];
-        u.attempt += 1;
-        u.asked = self.now;
-        u.waiting = true;
-        let attempt = u.attempt;
-        let limit = if u.kind == "query" { 2_000_000 } else { 5_000_000 };
-        let node = u.node.or_else(|| alive.get(pick).copied());
-        self.at(self.now + limit, Happening::UserTimeout(user, attempt));
-        if let Some(node) = node {
-            let m = Message::User { node, user };
-            self.at(self.now + 1_000, Happening::Deliver(Box::new(m)));
-        }
-    }
-
-    fn told(&mut self, user: usize, status: u16, state: Option<&str>) {
-        let (job, kind, polls) = (self.users[user].job, self.users[user].kind, self.users[user].polls);
-        self.users[user].waiting = false;
-        self.check.told(self.now, self.users[user].asked, kind, job, status, state);
-        let over = matches!(state, Some("done" | "cancelled"));
-        match kind {
-            "query" if !over && polls => self.at(self.now + 3_000_000, Happening::UserAgain(user)),
-            "submit" if matches!(status, 200 | 201) => {
-                self.user(job, "query", Vec::new(), None);
-            }
-            "submit" | "abort" if status == 503 => self.at(self.now + 1_000_000, Happening::UserAgain(user)),
-            _ => {}
-        }
-    }
-
     fn crash(&mut self, n: usize, down: u64) {
         if let Some(node) = self.nodes[n].take() {
             self.tally(node.controller.counters());
@@ -840,6 +596,17 @@
                 }
                 self.at(now + notice, Happening::Gone(machine));
             }
+            Step::Boots { factor, span } => self.cloud.slow = (factor, now + span),
+            Step::Polls { job, count, rate, span } => {
+                let every = (1e6 / rate) as u64;
+                self.at(now, Happening::Poll { job, count, every, until: now + span });
+            }
+            Step::Team { name, cores, most } => {
+                self.script.teams.retain(|t| t.0 != name);
+                self.script.teams.push((name, cores, most));
+                self.settings = (0..self.script.nodes).map(|n| settings(&self.script, n)).collect();
+                self.newer = (0..self.script.nodes).collect();
+            }
             Step::Faulty { machine } => {
                 if let Some(w) = self.workers.get_mut(&machine) {
                     w.faulty = true;
@@ -891,10 +658,12 @@
                         self.next_node(m, 1_000_000);
                     }
                 }
-                Happening::UserTimeout(u, attempt) => {
-                    if self.users[u].waiting && self.users[u].attempt == attempt {
-                        self.users[u].waiting = false;
-                        self.at(self.now + 1_000_000, Happening::UserAgain(u));
+                Happening::UserTimeout(u, attempt) => self.gave_up(u, attempt),
+                Happening::Poll { job, count, every, until } => {
+                    let which = job + (self.dice() * count as f64) as u64;
+                    self.poll(which);
+                    if self.now + every < until {
+                        self.at(self.now + every, Happening::Poll { job, count, every, until });
                     }
                 }
                 Happening::UserAgain(u) => {
@@ -931,70 +700,4 @@
         }
         self.lost_leases += self.workers.values().map(|w| w.lost_leases).sum::<u64>();
     }
-
-    /// The machines that have a record. None may have two.
-    fn recorded(&mut self) -> BTreeSet<u64> {
-        let mut all = BTreeSet::new();
-        let mut of_slice: BTreeMap<String, u64> = BTreeMap::new();
-        // Keys of the first layout had no part.
-        for (key, value) in self.state.values("c/group/").filter(|(k, _)| k.split('/').count() == 4) {
-            let group: GroupRecord = serde_json::from_value(value.clone()).expect("a group");
-            let slice = key.split('/').nth(2).unwrap_or_default();
-            *of_slice.entry(slice.to_owned()).or_default() += 1;
-            for m in group.machines.keys() {
-                if !all.insert(m.0) {
-                    self.check.broken.push(format!("{}: i-{:06} is in two records", self.now, m.0));
-                }
-            }
-        }
-        self.most_groups = self.most_groups.max(of_slice.into_values().max().unwrap_or(0));
-        all
-    }
-
-    /// Whether a controller says that it can take requests.
-    pub fn any_healthy(&self) -> bool {
-        (0..self.script.nodes).any(|n| self.nodes[n].as_ref().is_some_and(|x| x.controller.healthy(self.time(n))))
-    }
-
-    /// What was broken or not as expected.
-    pub fn verdict(&mut self) -> Vec<String> {
-        let recorded = self.recorded();
-        // One that has just come up may still be on its way into a record.
-        let unrecorded = self.workers.values().filter(|w| w.tally > 12 && !recorded.contains(&w.id)).count();
-        let mut bad = self.check.broken.clone();
-        for e in &self.script.expects {
-            let good = match e {
-                Expect::Done(j) => self.check.is_done(*j),
-                Expect::Cancelled(j) => self.check.is_cancelled(*j),
-                Expect::Unknown(j) => !self.check.is_accepted(*j),
-                Expect::AllDone => self.check.open().is_empty(),
-                Expect::Clashes => self.counters.clashes > 0,
-                Expect::Takeovers(n) => self.takeovers >= *n,
-                Expect::FewTakeovers(n) => self.takeovers <= *n,
-                Expect::LostLeases(n) => self.lost_leases <= *n,
-                Expect::Groups(n) => self.most_groups >= *n,
-                Expect::AllRecorded => unrecorded == 0,
-                Expect::Throttled => self.state.throttled + self.throttles > 0,
-                Expect::FewerMachines(n) => self.cloud.hosts.len() as u64 <= *n,
-            };
-            if !good {
-                bad.push(format!(
-                    "expected {e:?}; open: {:?}, clashes {}, takeovers {}, lost leases {}, hosts {}, groups {}, \
-                     without a record {unrecorded}",
-                    self.check.open(),
-                    self.counters.clashes,
-                    self.takeovers,
-                    self.lost_leases,
-                    self.cloud.hosts.len(),
-                    self.most_groups
-                ));
-            }
-        }
-        bad
-    }
-
-    /// How many tasks were started.
-    pub fn started(&self) -> u64 {
-        self.check.started
-    }
 }
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -48,6 +48,8 @@
     Slow,
     /// Only answers are lost.
     Deaf,
+    /// Connections are reset: nothing arrives, and who sends learns so at once.
+    Reset,
 }
 
 #[derive(Clone, Debug)]
@@ -99,9 +101,27 @@
     Faulty {
         machine: u64,
     },
+    /// What is rented takes so many times as long to come up.
+    Boots {
+        factor: f64,
+        span: u64,
+    },
+    /// Users ask about these jobs, so often a second, each time once.
+    Polls {
+        job: u64,
+        count: u64,
+        rate: f64,
+        span: u64,
+    },
+    /// A later deploy file has this team; controllers that start from now on read it.
+    Team {
+        name: String,
+        cores: f64,
+        most: f64,
+    },
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Expect {
     Done(u64),
     Cancelled(u64),
@@ -118,6 +138,21 @@
     AllRecorded,
     /// The state service refused requests for their rate.
     Throttled,
+    /// Of the tasks of a lane, this share started within the time of its submission.
+    Started {
+        lane: String,
+        within: u64,
+        share: f64,
+    },
+    /// The job's tasks were started at most so often.
+    Starts(u64, u64),
+    /// The user was told by then that the job is done.
+    DoneBy(u64, u64),
+    /// The state service was sent at most so many requests, or changes.
+    Requests(u64),
+    Changes(u64),
+    /// Of the polls, this share was answered with a state, or that there is no such job.
+    Polled(f64),
 }
 
 #[derive(Clone, Debug)]
@@ -296,6 +331,16 @@
                     "groups" => Expect::Groups(w.word(2, whole)?),
                     "all-recorded" => Expect::AllRecorded,
                     "throttled" => Expect::Throttled,
+                    "started" => Expect::Started {
+                        lane: w.word(2, |t| Some(t.to_owned()))?,
+                        within: w.need("within", micros)?,
+                        share: w.need("share", real)?,
+                    },
+                    "starts-at-most" => Expect::Starts(w.word(2, job)?, w.need("count", whole)?),
+                    "done-by" => Expect::DoneBy(w.word(2, job)?, w.need("at", micros)?),
+                    "requests-at-most" => Expect::Requests(w.word(2, whole)?),
+                    "changes-at-most" => Expect::Changes(w.word(2, whole)?),
+                    "polls-answered" => Expect::Polled(w.word(2, real)?),
                     "machines-at-most" => Expect::FewerMachines(w.word(2, whole)?),
                     other => return Err(format!("unknown expectation {other}")),
                 };
@@ -340,6 +385,7 @@
             "slow" => Mode::Slow,
             "late-commands" => Mode::LateCommands,
             "deaf" => Mode::Deaf,
+            "reset" => Mode::Reset,
             _ => return None,
         })
     };
@@ -383,6 +429,29 @@
             let notice = w.take("notice", micros)?.unwrap_or(0);
             (Step::Take { machine: w.word(3, machine)?, notice }, 4)
         }
+        "boots" => {
+            let factor = w.need("factor", |t| t.parse::<f64>().ok().filter(|f| *f >= 0.0))?;
+            (Step::Boots { factor, span: w.need("for", micros)? }, 3)
+        }
+        "polls" => {
+            let whole = |t: &str| t.parse::<u64>().ok();
+            let step = Step::Polls {
+                job: w.word(3, job)?,
+                count: w.take("count", whole)?.unwrap_or(1),
+                rate: w.need("rate", |t| t.parse::<f64>().ok().filter(|r| *r > 0.0))?,
+                span: w.need("for", micros)?,
+            };
+            (step, 4)
+        }
+        "team" => {
+            let real = |t: &str| t.parse::<f64>().ok().filter(|v| *v >= 0.0);
+            let step = Step::Team {
+                name: w.word(3, |t| Some(t.to_owned()))?,
+                cores: w.take("cores", real)?.unwrap_or(0.0),
+                most: w.take("most", real)?.unwrap_or(0.0),
+            };
+            (step, 4)
+        }
         "faulty" => (Step::Faulty { machine: w.word(3, machine)? }, 4),
         other => return Err(format!("unknown fault {other}")),
     })
--- a/tests/runner/state.rs
+++ b/tests/runner/state.rs
@@ -30,6 +30,8 @@
     requests: Bucket,
     changes: Bucket,
     pub throttled: u64,
+    /// Requests and changes that came.
+    pub came: (u64, u64),
 }
 
 /// Refuses beyond a rate; bursts of one second's worth are allowed.
@@ -76,6 +78,7 @@
             requests: Bucket::new(rates.0),
             changes: Bucket::new(rates.1),
             throttled: 0,
+            came: (0, 0),
         }
     }
 
@@ -162,6 +165,8 @@
         let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         let route = path.split('?').next().unwrap_or_default();
         let changes = body["then"].as_array().map_or(0, Vec::len);
+        self.came.0 += 1;
+        self.came.1 += changes as u64;
         if !self.requests.take(now, 1.0) || changes > 0 && !self.changes.take(now, changes as f64) {
             self.throttled += 1;
             return Some((429, json!({"error": "too many"})));
--- /dev/null
+++ b/tests/runner/users.rs
@@ -0,0 +1,116 @@
+//! Users: what they submit, ask and cancel, and how they repeat it.
+
+use super::check::Asked;
+use super::worker::JobInfo;
+use super::{Happening, Message, User, World};
+use serde_json::json;
+use std::collections::BTreeMap;
+
+impl World {
+    pub(super) fn submit(&mut self, job: u64, f: &BTreeMap<String, String>, node: Option<usize>) {
+        let text = |k: &str, default: &str| f.get(k).cloned().unwrap_or(default.to_owned());
+        let real = |k: &str, default: f64| f.get(k).map_or(default, |v| v.parse().expect("a number"));
+        let flag = |k: &str, default: bool| f.get(k).map_or(default, |v| v == "yes");
+        let run = real("run", 10.0);
+        let pieces = real("pieces", 1.0) as u32;
+        let builds: Option<Vec<String>> = f.get("builds").map(|b| b.split(',').map(str::to_owned).collect());
+        let asked = Asked {
+            team: text("team", "free"),
+            lane: text("lane", "lane"),
+            cores: real("cores", 1.0),
+            pieces,
+            builds: builds.clone(),
+            yard: f.get("yard").cloned(),
+            spot: flag("spot", true),
+            one_zone: flag("one_zone", false),
+            apart: flag("apart", false),
+        };
+        let shape = text("shape", "sweep");
+        let body = json!({"nameId": format!("req-{job:06}"), "lane": text("lane", "lane"), "crew": asked.team,
+            "shape": shape, "urgency": text("urgency", "standard"), "pieces": pieces, "cores": asked.cores,
+            "accelerators": 0, "memGb": real("mem", 1.0), "builds": builds, "yard": asked.yard,
+            "oneZone": asked.one_zone, "apart": asked.apart, "loaners": asked.spot, "bundle": text("image", "img"),
+            "sizeGb": real("size", 0.5), "guessS": real("guess", run), "bookmarkS": real("bookmark", 0.0),
+            "stashS": real("stash", 0.0), "dueS": f.get("due").map(|d| d.parse::<f64>().expect("a number"))});
+        let info = JobInfo {
+            cores: asked.cores,
+            mem: real("mem", 1.0),
+            run: (run * 1e6) as u64,
+            image: text("image", "img"),
+            size: real("size", 0.5),
+            pieces,
+            standing: shape == "standing",
+            fails: flag("fails", false),
+            saves: real("bookmark", 0.0) > 0.0,
+            stash: real("stash", 0.0),
+        };
+        self.jobs.entry(job).or_insert(info);
+        self.check.submitted.entry(job).or_insert(self.now);
+        self.check.asked.entry(job).or_insert(asked);
+        self.user(job, "submit", body.to_string().into_bytes(), node);
+    }
+
+    pub(super) fn user(&mut self, job: u64, kind: &'static str, body: Vec<u8>, node: Option<usize>) {
+        self.users.push(User { job, kind, body, node, attempt: 0, asked: 0, waiting: false, repeats: true });
+        let user = self.users.len() - 1;
+        self.try_user(user);
+    }
+
+    /// One poll of many.
+    pub(super) fn poll(&mut self, job: u64) {
+        let (kind, body) = ("query", Vec::new());
+        self.users.push(User { job, kind, body, node: None, attempt: 0, asked: 0, waiting: false, repeats: false });
+        self.try_user(self.users.len() - 1);
+    }
+
+    /// A user has waited long enough for an answer.
+    pub(super) fn gave_up(&mut self, user: usize, attempt: u32) {
+        let u = &mut self.users[user];
+        if !u.waiting || u.attempt != attempt {
+            return;
+        }
+        u.waiting = false;
+        let (job, kind, repeats) = (u.job, u.kind, u.repeats);
+        if kind == "query" {
+            self.check.polled(self.now, job, false);
+        }
+        if repeats {
+            self.at(self.now + 1_000_000, Happening::UserAgain(user));
+        }
+    }
+
+    pub(super) fn try_user(&mut self, user: usize) {
+        let alive: Vec<usize> = (0..self.script.nodes).filter(|n| self.nodes[*n].is_some()).collect();
+        let pick = (self.dice() * alive.len() as f64) as usize;
+        let u = &mut self.users[user];
+        u.attempt += 1;
+        u.asked = self.now;
+        u.waiting = true;
+        let attempt = u.attempt;
+        let limit = if u.kind == "query" { 2_000_000 } else { 5_000_000 };
+        let node = u.node.or_else(|| alive.get(pick).copied());
+        self.at(self.now + limit, Happening::UserTimeout(user, attempt));
+        if let Some(node) = node {
+            let m = Message::User { node, user };
+            self.at(self.now + 1_000, Happening::Deliver(Box::new(m)));
+        }
+    }
+
+    pub(super) fn told(&mut self, user: usize, status: u16, state: Option<&str>) {
+        let (job, kind, repeats) = (self.users[user].job, self.users[user].kind, self.users[user].repeats);
+        self.users[user].waiting = false;
+        if kind == "query" {
+            self.check.polled(self.now, job, matches!(status, 200 | 404));
+        }
+        self.check.told(self.now, self.users[user].asked, kind, job, status, state);
+        let over = matches!(state, Some("done" | "cancelled"));
+        match kind {
+            "query" if !over && repeats => self.at(self.now + 3_000_000, Happening::UserAgain(user)),
+            "submit" if matches!(status, 200 | 201) => {
+                self.user(job, "query", Vec::new(), None);
+            }
+            "submit" | "abort" if status == 503 => self.at(self.now + 1_000_000, Happening::UserAgain(user)),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/tests/runner/verdict.rs
@@ -0,0 +1,97 @@
+//! What was broken, or not as a scenario expects it.
+
+use super::World;
+use super::script::Expect;
+use cometlead::bookkeeping::records::GroupRecord;
+use std::collections::{BTreeMap, BTreeSet};
+
+impl World {
+    /// The machines that have a record. None may have two.
+    pub(super) fn recorded(&mut self) -> BTreeSet<u64> {
+        let mut all = BTreeSet::new();
+        let mut of_slice: BTreeMap<String, u64> = BTreeMap::new();
+        // Keys of the first layout had no part.
+        for (key, value) in self.state.values("c/group/").filter(|(k, _)| k.split('/').count() == 4) {
+            let group: GroupRecord = serde_json::from_value(value.clone()).expect("a group");
+            let slice = key.split('/').nth(2).unwrap_or_default();
+            *of_slice.entry(slice.to_owned()).or_default() += 1;
+            for m in group.machines.keys() {
+                if !all.insert(m.0) {
+                    self.check.broken.push(format!("{}: i-{:06} is in two records", self.now, m.0));
+                }
+            }
+        }
+        self.most_groups = self.most_groups.max(of_slice.into_values().max().unwrap_or(0));
+        all
+    }
+
+    /// Whether a controller says that it can take requests.
+    pub fn any_healthy(&self) -> bool {
+        (0..self.script.nodes).any(|n| self.nodes[n].as_ref().is_some_and(|x| x.controller.healthy(self.time(n))))
+    }
+
+    /// What was broken or not as expected.
+    pub fn verdict(&mut self) -> Vec<String> {
+        let recorded = self.recorded();
+        // One that has just come up may still be on its way into a record.
+        let unrecorded = self.workers.values().filter(|w| w.tally > 12 && !recorded.contains(&w.id)).count();
+        let mut bad = self.check.broken.clone();
+        for e in &self.script.expects {
+            let good = match e {
+                Expect::Done(j) => self.check.is_done(*j),
+                Expect::Cancelled(j) => self.check.is_cancelled(*j),
+                Expect::Unknown(j) => !self.check.is_accepted(*j),
+                Expect::AllDone => self.check.open().is_empty(),
+                Expect::Clashes => self.counters.clashes > 0,
+                Expect::Takeovers(n) => self.takeovers >= *n,
+                Expect::FewTakeovers(n) => self.takeovers <= *n,
+                Expect::LostLeases(n) => self.lost_leases <= *n,
+                Expect::Groups(n) => self.most_groups >= *n,
+                Expect::AllRecorded => unrecorded == 0,
+                Expect::Throttled => self.state.throttled + self.throttles > 0,
+                Expect::Started { lane, within, share } => self.started_in_time(lane, *within) >= *share,
+                Expect::Starts(j, n) => self.check.starts.get(j).copied().unwrap_or(0) <= *n,
+                Expect::DoneBy(j, at) => self.check.done_at(*j).is_some_and(|t| t <= *at),
+                Expect::Requests(n) => self.state.came.0 <= *n,
+                Expect::Changes(n) => self.state.came.1 <= *n,
+                Expect::Polled(share) => self.check.polls.1 as f64 >= self.check.polls.0 as f64 * share,
+                Expect::FewerMachines(n) => self.cloud.hosts.len() as u64 <= *n,
+            };
+            if !good {
+                bad.push(format!(
+                    "expected {e:?}; open: {:?}, clashes {}, takeovers {}, lost leases {}, hosts {}, groups {}, \
+                     without a record {unrecorded}, state {:?}, polls {:?}, starts {:?}, urgent in 2 s {:.3}, done {:?}",
+                    self.check.open(),
+                    self.counters.clashes,
+                    self.takeovers,
+                    self.lost_leases,
+                    self.cloud.hosts.len(),
+                    self.most_groups,
+                    self.state.came,
+                    self.check.polls,
+                    self.check.starts.iter().take(12).collect::<Vec<_>>(),
+                    self.started_in_time("urgent", 2_000_000),
+                    self.check.done(),
+                ));
+            }
+        }
+        bad
+    }
+
+    /// Of the tasks of a lane, the share that started within some time of their submission.
+    fn started_in_time(&self, lane: &str, within: u64) -> f64 {
+        let of_lane = self.check.asked.iter().filter(|(_, a)| a.lane == lane);
+        let (mut all, mut good) = (0, 0);
+        for (job, asked) in of_lane {
+            all += asked.pieces;
+            let waited = |i: &u32| self.check.waited.get(&(*job, *i)).is_some_and(|w| *w <= within);
+            good += (0..asked.pieces).filter(waited).count();
+        }
+        good as f64 / f64::from(all.max(1))
+    }
+
+    /// How many tasks were started.
+    pub fn started(&self) -> u64 {
+        self.check.started
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -5,6 +5,8 @@
 use runner::World;
 use runner::script::Script;
 use std::path::Path;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Stamps the log with the simulated time.
 struct SimulatedTime;
@@ -31,6 +33,28 @@
     (world, bad)
 }
 
+/// Plays scripts on several threads; what was not as it should be, each with its script's name.
+fn play_all(scripts: &[(String, Script)]) -> Vec<String> {
+    let next = AtomicUsize::new(0);
+    let failures = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                while let Some((name, script)) = scripts.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let (world, mut bad) = play(script.clone());
+                    if world.started() == 0 {
+                        bad.push("nothing ran".to_owned());
+                    }
+                    failures.lock().unwrap().extend(bad.into_iter().map(|b| format!("{name}: {b}")));
+                }
+            });
+        }
+    });
+    let mut failures = failures.into_inner().unwrap();
+    failures.sort();
+    failures
+}
+
 #[test]
 fn scenarios() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
@@ -40,27 +64,19 @@
     let mut files: Vec<_> = std::fs::read_dir(folder).unwrap().map(|f| f.unwrap().path()).collect();
     files.sort();
     let mut failures = Vec::new();
-    let mut played = 0;
+    let mut scripts = Vec::new();
     for path in files {
         let name = path.file_stem().unwrap().to_string_lossy().into_owned();
         if only.as_ref().is_some_and(|o| *o != name) {
             continue;
         }
-        let script = match Script::parse(&std::fs::read_to_string(&path).unwrap()) {
-            Ok(s) => Script { seed: luck.unwrap_or(s.seed), ..s },
-            Err(e) => {
-                failures.push(format!("{name}: {e}"));
-                continue;
-            }
-        };
-        let (world, bad) = play(script);
-        if world.started() == 0 {
-            failures.push(format!("{name}: nothing ran"));
+        match Script::parse(&std::fs::read_to_string(&path).unwrap()) {
+            Ok(s) => scripts.push((name, Script { seed: luck.unwrap_or(s.seed), ..s })),
+            Err(e) => failures.push(format!("{name}: {e}")),
         }
-        failures.extend(bad.into_iter().map(|b| format!("{name}: {b}")));
-        played += 1;
     }
-    assert!(played > 0, "no scenario was played");
+    assert!(!scripts.is_empty(), "no scenario was played");
+    failures.extend(play_all(&scripts));
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
@@ -114,6 +130,33 @@
             _ => format!("at {at} take i-{machine:06} notice={}\n", pick(8)),
         };
     }
+    // Days from here on have the troubles of operations as well.
+    if seed > 1000 {
+        text += &format!("at {} boots factor={} for={}\n", pick(60), [0.02, 0.3, 5.0][pick(3) as usize], 20 + pick(60));
+        let (at, span) = (5 + pick(140), 5 + pick(40));
+        text += &format!("at {at} polls req-000001 count={} rate={} for={span}\n", 12 + pick(40), 5 + pick(40));
+        text += &format!("at {} cut n{} machines mode=reset for={}\n", 10 + pick(120), pick(3), 5 + pick(40));
+        for job in 90..92 {
+            let at = 1 + pick(100);
+            text += &format!(
+                "at {at} submit req-{job:06} pieces={} cores={} run=5 team=free lane=urgent urgency=high fails=yes\n",
+                1 + pick(9),
+                1 + pick(4)
+            );
+            text += &format!("at {} abort req-{job:06}\n", at + 20 + pick(120));
+        }
+        text += &format!(
+            "at {} submit req-000093 pieces={} cores=0.25 run=2 mem=0.1 urgency=low team=free\n",
+            1 + pick(100),
+            100 + pick(400)
+        );
+        text += &format!(
+            "at {} submit req-000100 pieces=1 cores=0.5 run=1 urgency=low team=late times=40 every=0.5\n",
+            60 + pick(60)
+        );
+        text += &format!("at {} team late most=3\nat {} crash n0 for=2\n", 20 + pick(20), 41 + pick(5));
+        text += &format!("at {} crash n1 for=2\nat {} crash n2 for=3\n", 47 + pick(5), 52 + pick(5));
+    }
     text += "expect all-done\n";
     Script::parse(&text).unwrap_or_else(|e| panic!("{e}\n{text}"))
 }
@@ -123,21 +166,10 @@
     let only: Option<u64> = std::env::var("SEED").ok().map(|s| s.parse().unwrap());
     let count: u64 = std::env::var("SEEDS").ok().map_or(120, |s| s.parse().unwrap());
     // The last ones catch what no other does: launches that were thought settled.
-    let seeds = only.map_or_else(|| (1..=count).chain([304, 323, 444, 578]).collect(), |s| vec![s]);
-    let next = std::sync::atomic::AtomicUsize::new(0);
-    let failures = std::sync::Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..8 {
-            scope.spawn(|| {
-                while let Some(seed) = seeds.get(next.fetch_add(1, std::sync::atomic::Ordering::Relaxed)) {
-                    let (world, bad) = play(drawn(*seed));
-                    assert!(world.started() > 0, "seed {seed}: nothing ran");
-                    failures.lock().unwrap().extend(bad.into_iter().map(|b| format!("seed {seed}: {b}")));
-                }
-            });
-        }
-    });
-    let failures = failures.into_inner().unwrap();
+    let seeds: Vec<u64> = only
+        .map_or_else(|| (1..=count).chain([304, 323, 444, 578]).chain(1001..=1000 + count / 2).collect(), |s| vec![s]);
+    let days: Vec<_> = seeds.into_iter().map(|seed| (format!("seed {seed}"), drawn(seed))).collect();
+    let failures = play_all(&days);
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
