--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -9,7 +9,7 @@
 use super::catalog::{Catalog, MachineType};
 use super::finished::{CHUNK, Finished};
 use super::ids::{JobId, MachineId, Part, Slice, TaskId};
-use super::job::{JobRecord, JobSpec};
+use super::job::{FinalRecord, JobRecord, JobSpec};
 use super::records::{
     Booking, FleetRecord, GroupRecord, Key, LAYOUT, MachineRecord, MetaRecord, NodeRecord, OwnRecord, UsageRecord,
 };
@@ -86,6 +86,12 @@
         }
     }
 
+    /// How it ended, as its record was when it went.
+    fn ending(&self) -> FinalRecord {
+        let cancelled = self.record.cancelled;
+        FinalRecord { cancelled, done: if cancelled { self.done() } else { self.record.spec.pieces } }
+    }
+
     /// Whether it seems to be the job's own fault that its tasks fail: on several machines, and nothing
     /// of it was completed, or far less than failed. A replica that goes on running completes nothing.
     pub fn suspect(&self) -> bool {
@@ -120,6 +126,8 @@
     pub usage: bool,
     /// Jobs that came, changed or went.
     pub jobs: Vec<JobId>,
+    /// Jobs whose records were removed, and how they ended: a live record goes only as its job ends.
+    pub ended: Vec<(JobId, FinalRecord)>,
     /// A controller came or went.
     pub nodes: bool,
 }
@@ -361,7 +369,9 @@
                 touched.jobs.push(id);
             }
             (Key::Job(id), None) => {
-                self.jobs.remove(&id);
+                if let Some(job) = self.jobs.remove(&id) {
+                    touched.ended.push((id, job.ending()));
+                }
                 touched.jobs.push(id);
             }
             (Key::Chunk(id, n), Some(Content::Chunk(value))) => {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -305,6 +305,7 @@
         if self.now.steady >= self.next_count {
             self.next_count = self.now.steady + Micros::secs(30);
             let c = self.counters;
+            let polls = self.users.polls();
             tracing::info!(
                 commits = c.commits,
                 clashes = c.clashes,
@@ -318,6 +319,9 @@
                 jobs = c.changes.jobs,
                 ends = c.changes.ends,
                 waiting = self.rounds.waiting(),
+                polls = polls.answered,
+                polls_delayed = polls.delayed,
+                polls_refused = polls.refused,
                 "counts so far"
             );
         }
@@ -422,7 +426,11 @@
         for m in &touched.machines {
             self.on_machine_changed(*m);
         }
+        for (id, f) in &touched.ended {
+            self.users.remember(*id, *f);
+        }
         for j in &touched.jobs {
+            self.users.appeared(*j);
             self.on_job_changed(*j);
         }
         if touched.usage || !touched.jobs.is_empty() || !touched.machines.is_empty() || !touched.own.is_empty() {
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -15,7 +15,10 @@
     next_watch: Micros,
     barrier: Option<CallId>,
     wanted: bool,
+    /// A read is wanted by polls alone: it may wait a little for others to share it, or for the watch.
+    wanted_soon: bool,
     next_barrier: Micros,
+    next_poll_read: Micros,
     /// Every changes read up to this call has been answered or outdone by a later one.
     read: u64,
     retry: Micros,
@@ -51,6 +54,11 @@
         self.wanted = true;
     }
 
+    /// Asks for a read that begins now or later, for those who only ask.
+    pub fn want_read(&mut self) {
+        self.wanted_soon = true;
+    }
+
     /// Whether a read that began after this call has completed.
     pub fn passed(&self, call: u64) -> bool {
         self.read > call
@@ -61,6 +69,8 @@
     /// Shortest time between two reads. The watch would otherwise answer each single change.
     const WATCH_SPACING: Micros = Micros::millis(90);
     const BARRIER_SPACING: Micros = Micros::millis(60);
+    /// The same for polls, whose users wait for up to two seconds.
+    const POLL_SPACING: Micros = Micros::millis(180);
     /// How long a watch waits. Short enough that contact never looks old in quiet times.
     const WATCH_WAIT: Micros = Micros::millis(2_000);
 
@@ -73,6 +83,7 @@
                     return;
                 }
                 self.view.clear();
+                self.users.forget_absent();
                 self.reader.phase = Phase::Listing;
                 self.budget.force(now, 0);
                 self.ask_state(Purpose::Page { first: None }, StateRequest::List { after: None });
@@ -106,19 +117,26 @@
 
     fn pump_barrier(&mut self) {
         let now = self.now.steady;
-        if !self.reader.wanted || self.reader.barrier.is_some() || !self.reader.ready() {
+        let urgent = self.reader.wanted;
+        if !urgent && !self.reader.wanted_soon || self.reader.barrier.is_some() || !self.reader.ready() {
             return;
         }
-        if now < self.reader.next_barrier {
-            self.wake_at(self.reader.next_barrier);
+        let at =
+            if urgent { self.reader.next_barrier } else { self.reader.next_poll_read.max(self.reader.next_barrier) };
+        if now < at {
+            self.wake_at(at);
             return;
         }
-        if let Err(at) = self.budget.spend(now, 0, 0.0) {
+        // A poll that has waited for long is answered all the same.
+        let patient = !urgent && self.users.oldest_read(now).is_none_or(|t| t < Micros::millis(700));
+        if let Err(at) = self.budget.spend(now, 0, if patient { Self::POLLS } else { 0.0 }) {
             self.wake_at(at);
             return;
         }
         self.reader.wanted = false;
+        self.reader.wanted_soon = false;
         self.reader.next_barrier = now + Self::BARRIER_SPACING;
+        self.reader.next_poll_read = now + Self::POLL_SPACING;
         let request = StateRequest::Changes { after: self.view.epoch, wait: Micros::ZERO };
         let id = self.ask_state(Purpose::Barrier, request);
         self.reader.barrier = Some(id);
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -11,7 +11,7 @@
 use crate::bookkeeping::view::{Change, Content, Touched};
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
 use crate::protocol::user::{JobAnswer, JobStatus, UserAnswer, UserRequest};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 #[derive(Clone, Debug)]
 enum Wish {
@@ -42,9 +42,25 @@
     submits: Vec<Waiting>,
     aborts: Vec<Waiting>,
     reads: Vec<Waiting>,
-    finals: Vec<Waiting>,
+    finals: VecDeque<Waiting>,
     ended: HashMap<JobId, FinalRecord>,
     ended_order: VecDeque<JobId>,
+    /// Jobs that were found to be neither live nor ended, and have not come up in the copy since.
+    absent: HashSet<JobId>,
+    absent_order: VecDeque<JobId>,
+    /// Polls answered, told to come back for want of time, and refused at once.
+    polls: Polls,
+}
+
+/// How polls fared.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Polls {
+    /// Answered with a state, or that there is no such job.
+    pub answered: u64,
+    /// Told to come back after they had waited.
+    pub delayed: u64,
+    /// Told to come back at once.
+    pub refused: u64,
 }
 
 impl Users {
@@ -63,6 +79,40 @@
         }
     }
 
+    /// A job is neither live nor ended. That stays so until the copy shows it: a job ends after it was
+    /// live, and the copy misses no change.
+    fn remember_absent(&mut self, id: JobId) {
+        if self.absent.insert(id) {
+            self.absent_order.push_back(id);
+            if self.absent_order.len() > Self::REMEMBERED
+                && let Some(old) = self.absent_order.pop_front()
+            {
+                self.absent.remove(&old);
+            }
+        }
+    }
+
+    /// A job came up in the copy.
+    pub fn appeared(&mut self, id: JobId) {
+        self.absent.remove(&id);
+    }
+
+    /// The copy is read anew and may miss what was there meanwhile.
+    pub fn forget_absent(&mut self) {
+        self.absent.clear();
+        self.absent_order.clear();
+    }
+
+    /// How polls fared.
+    pub fn polls(&self) -> Polls {
+        self.polls
+    }
+
+    /// How long the oldest read has waited.
+    pub fn oldest_read(&self, now: Micros) -> Option<Micros> {
+        self.reads.iter().map(|w| now.since(w.since)).max()
+    }
+
     fn waiting(&self) -> usize {
         self.submits.len() + self.aborts.len() + self.reads.len() + self.finals.len()
     }
@@ -76,10 +126,25 @@
     const LATER: UserAnswer = UserAnswer::Later(1);
     /// Users go before rounds: their requests are few, and may overdraw what a round has left.
     const USERS: f64 = -1.0;
+    /// What polls leave of the requests for everything else.
+    pub(super) const POLLS: f64 = 0.4;
     /// Contact older than this means that a request could not be decided in time.
     const BLIND: Micros = Micros::millis(4_500);
 
+    /// Reads of final records that may wait: about as many as can be made before their users give up.
+    fn most_finals(&self) -> usize {
+        (self.cfg.state_rps / self.cfg.controllers() as f64) as usize + 4
+    }
+
     fn answer(&mut self, w: &Waiting, answer: UserAnswer) {
+        if matches!(w.wish, Wish::Query) {
+            let polls = &mut self.users.polls;
+            *match answer {
+                UserAnswer::Later(_) if w.since == self.now.steady => &mut polls.refused,
+                UserAnswer::Later(_) => &mut polls.delayed,
+                _ => &mut polls.answered,
+            } += 1;
+        }
         self.out.push(Effect::User(w.call, answer));
     }
 
@@ -166,8 +231,13 @@
 
     fn await_read(&mut self, mut w: Waiting) {
         w.after = self.next_call - 1;
+        // What changes something goes before what only asks.
+        if matches!(w.wish, Wish::Query) {
+            self.reader.want_read();
+        } else {
+            self.reader.want_barrier();
+        }
         self.users.reads.push(w);
-        self.reader.want_barrier();
     }
 
     pub(super) fn pump_users(&mut self) {
@@ -202,9 +272,10 @@
             }
             self.send_submits(batch);
         }
-        while let Some(w) = self.users.finals.pop() {
-            if let Err(at) = self.budget.spend(now, 0, 0.0) {
-                self.users.finals.push(w);
+        while let Some(w) = self.users.finals.pop_front() {
+            let reserve = if matches!(w.wish, Wish::Query) { Self::POLLS } else { 0.0 };
+            if let Err(at) = self.budget.spend(now, 0, reserve) {
+                self.users.finals.push_front(w);
                 self.wake_at(at);
                 return;
             }
@@ -355,10 +426,12 @@
         }
         let (ready, still): (Vec<Waiting>, Vec<Waiting>) =
             std::mem::take(&mut self.users.reads).into_iter().partition(|w| self.reader.passed(w.after));
-        self.users.reads = still;
-        if !self.users.reads.is_empty() {
+        if still.iter().any(|w| !matches!(w.wish, Wish::Query)) {
             self.reader.want_barrier();
+        } else if !still.is_empty() {
+            self.reader.want_read();
         }
+        self.users.reads = still;
         for w in ready {
             match (self.live_answer(w.id), &w.wish) {
                 (Some(a), Wish::Abort) if a.status != JobStatus::Cancelled => self.users.aborts.push(w),
@@ -368,7 +441,12 @@
                         let a = final_answer(w.id, *f);
                         self.answer(&w, UserAnswer::Is(a));
                     }
-                    None => self.users.finals.push(w),
+                    None if self.users.absent.contains(&w.id) => self.decide_absent(w),
+                    // Who asks about what nobody has submitted must not take the requests of others.
+                    None if matches!(w.wish, Wish::Query) && self.users.finals.len() >= self.most_finals() => {
+                        self.answer(&w, Self::LATER);
+                    }
+                    None => self.users.finals.push_back(w),
                 },
             }
         }
@@ -383,18 +461,28 @@
                 }
                 Err(_) => self.answer(&w, Self::LATER),
             },
-            Ok(StateReply::Value(None)) => match &w.wish {
-                Wish::Query | Wish::Abort => self.answer(&w, UserAnswer::Unknown),
-                Wish::Refuse(answer) => {
-                    let answer = answer.clone();
-                    self.answer(&w, answer);
+            Ok(StateReply::Value(None)) => {
+                if !self.view.jobs.contains_key(&w.id) {
+                    self.users.remember_absent(w.id);
                 }
-                Wish::Submit(_) => self.users.submits.push(w),
-            },
+                self.decide_absent(w);
+            }
             _ => self.answer(&w, Self::LATER),
         }
     }
 
+    /// Nobody has submitted this job before.
+    fn decide_absent(&mut self, w: Waiting) {
+        match &w.wish {
+            Wish::Query | Wish::Abort => self.answer(&w, UserAnswer::Unknown),
+            Wish::Refuse(answer) => {
+                let answer = answer.clone();
+                self.answer(&w, answer);
+            }
+            Wish::Submit(_) => self.users.submits.push(w),
+        }
+    }
+
     /// A read brought nothing: who waits for one is told to come back.
     pub(super) fn users_without_contact(&mut self) {
         for w in std::mem::take(&mut self.users.reads) {
@@ -411,9 +499,12 @@
         };
         let mut late = Vec::new();
         let users = &mut self.users;
-        for queue in [&mut users.submits, &mut users.aborts, &mut users.reads, &mut users.finals] {
+        for queue in [&mut users.submits, &mut users.aborts, &mut users.reads] {
             late.extend(queue.extract_if(.., |w| now.since(w.since) > limit(w)));
         }
+        while let Some(w) = users.finals.pop_front_if(|w| now.since(w.since) > limit(w)) {
+            late.push(w);
+        }
         for w in late {
             self.answer(&w, Self::LATER);
         }
