--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -1,6 +1,7 @@
 //! Records, the private copy of the cluster's state, and the pure planners.
 
 pub mod amount;
+pub mod boots;
 pub mod catalog;
 pub mod finished;
 pub mod fleet;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,6 +1,7 @@
 //! Hiring and returning machines: the work of slice 0's owner, who alone talks to the cloud.
 
 use super::{Call, CallId, Controller, Effect, Purpose};
+use crate::bookkeeping::boots::Boots;
 use crate::bookkeeping::catalog::Catalog;
 use crate::bookkeeping::fleet::{Demand, Offer, Pools, core_price, plan};
 use crate::bookkeeping::ids::{JobId, MachineId};
@@ -34,6 +35,8 @@
     status: HostStatus,
     /// When a list last held it.
     listed: Option<Micros>,
+    /// It was hired in this tenure and has not come up yet.
+    booting: bool,
 }
 
 /// What the fleet's owner knows.
@@ -51,6 +54,9 @@
     lists: u32,
     last_list: Micros,
     known: BTreeMap<MachineId, Known>,
+    boots: Boots,
+    /// Expected boot times, by type: now, and as last logged.
+    expected: BTreeMap<String, (Micros, Micros)>,
     idle: HashMap<MachineId, Micros>,
     spare: BTreeMap<Offer, Spare>,
     lost: HashMap<MachineId, Micros>,
@@ -145,6 +151,7 @@
         if self.view.types.value.is_none() || self.fleet.lists == 0 {
             return;
         }
+        self.note_boots();
         self.return_machines();
         if now >= self.fleet.next_look {
             // What was expected to come may not have come.
@@ -200,7 +207,11 @@
                 .map(|j| u128::from(j.spec().need.cores) * u128::from(j.spec().guess.0 / 2));
             pools.add((&r.build, &r.yard, r.spot), catalog, 1, Some(self.view.free(r)), work.sum());
         }
-        for (_, k) in self.fleet.known.iter().filter(|(m, k)| self.boots(**m, k)) {
+        let patience: BTreeMap<&str, Micros> =
+            catalog.types.iter().map(|t| (t.name.as_str(), self.boot_patience(&t.name))).collect();
+        let coming =
+            |m: MachineId, k: &Known| self.boots(m, k, patience.get(k.build.as_str()).copied().unwrap_or_default());
+        for (_, k) in self.fleet.known.iter().filter(|(m, k)| coming(**m, k)) {
             pools.add((&k.build, &k.yard, k.spot), catalog, 1, None, 0);
         }
         // Rentals of an earlier owner whose machines no list shows yet.
@@ -220,6 +231,11 @@
         if demands.is_empty() {
             return;
         }
+        let mut catalog = catalog.clone();
+        for t in &mut catalog.types {
+            t.boot = self.expected_boot(&t.name);
+        }
+        let catalog = &catalog;
         let none_left = &self.fleet.none_left;
         let offered = |o: &Offer| none_left.get(o).is_none_or(|(until, _)| *until <= now);
         let hires = plan(catalog, &demands, &mut self.pools(catalog), &offered);
@@ -262,18 +278,56 @@
     }
 
     /// Whether a known machine is still expected to come up.
-    fn boots(&self, m: MachineId, k: &Known) -> bool {
+    fn boots(&self, m: MachineId, k: &Known, patience: Micros) -> bool {
         self.view.machine(m).is_none()
             && k.status != HostStatus::Failed
             && !self.fleet.released.contains(&m)
-            && self.now.steady.since(k.since) < self.boot_patience(&k.build, 3)
+            && self.now.steady.since(k.since) < patience
+    }
+
+    /// Notes which machines have come up, and what that says of their types.
+    fn note_boots(&mut self) {
+        let now = self.now.steady;
+        let view = &self.view;
+        for (m, k) in self.fleet.known.iter_mut().filter(|(m, k)| k.booting && view.machine(**m).is_some()) {
+            k.booting = false;
+            let took = now.since(k.since);
+            tracing::debug!(machine = %m, %took, "up");
+            self.fleet.boots.ended(&k.build, now, took);
+        }
+        let mut ages: HashMap<&str, Vec<Micros>> = HashMap::new();
+        for (m, k) in self.fleet.known.iter().filter(|(_, k)| k.booting && k.status != HostStatus::Failed) {
+            if !self.fleet.released.contains(m) {
+                ages.entry(&k.build).or_default().push(now.since(k.since));
+            }
+        }
+        for t in view.types.value.iter().flat_map(|c| &c.types) {
+            let waiting = ages.remove(t.name.as_str()).unwrap_or_default();
+            let expected = self.fleet.boots.expected(&t.name, t.boot, now, waiting.into_iter());
+            let known = self.fleet.expected.entry(t.name.clone()).or_insert((t.boot, t.boot));
+            known.0 = expected;
+            if expected > known.1 * 2 || known.1 > expected * 2 {
+                tracing::info!(build = t.name, %expected, nominal = %t.boot, "boots take another time than before");
+                known.1 = expected;
+            }
+        }
+    }
+
+    fn nominal_boot(&self, build: &str) -> Micros {
+        self.view.machine_type(build).map_or(Micros::secs(60), |t| t.boot)
     }
 
-    /// How long a machine of this type may take to come up before it no longer counts as coming
-    /// (`halves` 3), or is given up (6): in halves of its nominal boot time.
-    fn boot_patience(&self, build: &str, halves: u64) -> Micros {
-        let boot = self.view.machine_type(build).map_or(Micros::secs(60), |t| t.boot);
-        Micros(boot.0 / 2) * halves + Micros::secs(5)
+    /// How long a machine of this type takes to come up at present.
+    fn expected_boot(&self, build: &str) -> Micros {
+        self.fleet.expected.get(build).map_or_else(|| self.nominal_boot(build), |(now, _)| *now)
+    }
+
+    /// How long a machine of this type may take to come up before it no longer counts as coming: half
+    /// as long again as boots take now, within reason.
+    fn boot_patience(&self, build: &str) -> Micros {
+        let (nominal, expected) = (self.nominal_boot(build), self.expected_boot(build));
+        let patience = Micros(expected.0 / 2 * 3);
+        patience.clamp(Micros(nominal.0 / 2 * 3), nominal * 5) + Micros::secs(5)
     }
 
     fn write_fleet(&mut self, record: FleetRecord, new: Vec<HireRecord>) {
@@ -407,6 +461,7 @@
                         since: now,
                         status: HostStatus::Starting,
                         listed: None,
+                        booting: true,
                     });
                 }
                 self.forget_hire(&h.name);
@@ -447,6 +502,9 @@
         self.fleet.lists += 1;
         let sent = self.fleet.list_sent;
         self.fleet.last_list = sent;
+        let boot: BTreeMap<String, Micros> =
+            self.view.types.value.iter().flat_map(|c| &c.types).map(|t| (t.name.clone(), t.boot)).collect();
+        let nominal = |build: &str| boot.get(build).copied().unwrap_or_default();
         for h in hosts {
             if h.status == HostStatus::Failed && self.view.machine(h.id).is_some() {
                 tracing::info!(machine = %h.id, "failed, says the cloud");
@@ -459,6 +517,8 @@
                 since: now - h.age,
                 status: h.status,
                 listed: None,
+                // Of one that an earlier owner hired long ago only those are left that never come up.
+                booting: h.status == HostStatus::Starting && h.age < nominal(&h.build),
             });
             known.status = h.status;
             known.listed = Some(sent);
@@ -478,7 +538,7 @@
         let cheapest = types.map(|t| core_price(t, true).min(core_price(t, false))).min().unwrap_or(0);
         let derived = match self.view.machine_type(build) {
             Some(t) if core_price(t, spot) > cheapest * 3 / 2 => Micros::secs(5),
-            t => t.map_or(Micros::secs(30), |t| t.boot),
+            t => t.map_or(Micros::secs(30), |t| self.expected_boot(build).clamp(Micros::secs(2), t.boot * 2)),
         };
         self.op.idle_s.map_or(derived, Micros::from_secs_f64)
     }
@@ -539,10 +599,16 @@
                 tracing::info!(machine = %m, why, "returning");
             }
         }
+        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let give_up: BTreeMap<&str, Micros> =
+            types.map(|t| (t.name.as_str(), self.boot_patience(&t.name).max(t.boot * 3) + Micros::secs(5))).collect();
         for (m, k) in &self.fleet.known {
             let age = now.since(k.since);
             let unused = self.view.machine(*m).is_none() && k.status != HostStatus::Failed;
-            if unused && !self.fleet.released.contains(m) && age > self.boot_patience(&k.build, 6) {
+            if unused
+                && !self.fleet.released.contains(m)
+                && give_up.get(k.build.as_str()).is_none_or(|most| age > *most)
+            {
                 tracing::info!(machine = %m, age = %age, "never came up, returning");
                 release.push(*m);
             }
