--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -233,7 +233,8 @@
         }
         let mut catalog = catalog.clone();
         for t in &mut catalog.types {
-            t.boot = self.expected_boot(&t.name);
+            // That boots were late lately must not keep work from machines that may be prompt again.
+            t.boot = self.expected_boot(&t.name).min(t.boot * 2);
         }
         let catalog = &catalog;
         let none_left = &self.fleet.none_left;
