--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -339,6 +339,7 @@
                 epoch: self.view.epoch,
                 terms,
                 heard_ms: self.heard_ms(),
+                pressed: self.rounds.pressed(self.now.steady),
                 spends: (self.budget.spending(self.now.steady) * 1e3) as u64,
             }));
             let lately = |(heard, hint): &(Micros, PeerHint)| {
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -53,6 +53,9 @@
     looking: bool,
     in_flight: bool,
     next: Micros,
+    /// When the last round was sent, and when the last one that had no room for all there was.
+    last: Micros,
+    last_full: Option<Micros>,
     /// Bookings to be cleared, with since when.
     clears: BTreeMap<(MachineId, Attempt), (Outcome, Micros)>,
     marks: BTreeMap<MachineId, Mark>,
@@ -94,6 +97,11 @@
         self.clears.contains_key(&(m, a))
     }
 
+    /// Whether more waits than rounds have had room for lately.
+    pub fn pressed(&self, now: Micros) -> bool {
+        self.last_full.is_some_and(|t| now.since(t) < Micros::secs(3))
+    }
+
     /// How many bookings wait to be cleared.
     pub fn waiting(&self) -> usize {
         self.clears.len()
@@ -199,6 +207,8 @@
 }
 
 impl Controller {
+    /// How long small rounds are gathered for while a peer has more to write than its share.
+    const GATHER: Micros = Micros::millis(800);
     /// Most claims of one round.
     const CLAIMS: usize = 256;
     /// Most machines on which one round stops tasks for others.
@@ -216,6 +226,11 @@
         if self.view.types.value.is_none() || self.view.slices() == 0 {
             return;
         }
+        let patient = self.rounds.last + Self::GATHER;
+        if now < patient && self.yields() {
+            self.wake_at(patient);
+            return;
+        }
         if let Err(at) = self.budget.round(now) {
             self.wake_at(at);
             return;
@@ -233,11 +248,35 @@
             return;
         };
         self.budget.force(now, commit.txn.then.len());
+        self.rounds.last = now;
+        // The end of a job takes two more changes, so a full round may be a little short.
+        if commit.txn.then.len() + 2 >= ops {
+            self.rounds.last_full = Some(now);
+        }
         self.rounds.in_flight = true;
         let in_flight = InFlight { changes: commit.changes, ended: commit.ended, booked, cleared };
         self.ask_state(Purpose::Round(Box::new(in_flight)), StateRequest::Txn(commit.txn));
     }
 
+    /// Whether small rounds should be gathered into larger ones: a peer has more to write than its share
+    /// of the rate, this controller has not, and nothing here must start at once.
+    fn yields(&self) -> bool {
+        let now = self.now.steady;
+        let fresh = |told: Micros| now.since(told) < Micros::secs(3);
+        !self.rounds.pressed(now)
+            && self.peers.values().any(|(told, hint)| hint.pressed && fresh(*told))
+            && !self.view.jobs.iter().any(|(id, j)| self.urgent(*id, j) && self.view.pending_count(*id, j) > 0)
+    }
+
+    /// Whether a job is this controller's, and must start at once.
+    fn urgent(&self, id: JobId, job: &Job) -> bool {
+        self.starts_at_once(job.spec())
+            && !job.record.cancelled
+            && self.owns(self.view.job_slice(id, job.spec()))
+            && !self.rounds.is_suspect(id)
+            && !self.unplaced_job(job)
+    }
+
     /// How large a group should become. Every change of it is sent whole to every controller, so at
     /// the full rate of changes it must be read with a small part of the processor share; within
     /// that, the larger it is the more changes go out with one write.
@@ -341,15 +380,8 @@
     /// fewer records a round writes the less it clashes, and the sooner there may be another. None
     /// if there is nothing of the kind, or if it needs the room that ends give back.
     fn lean_round(&self, limits: Limits) -> Option<Drafted> {
-        let urgent = |id: &JobId, j: &Job| {
-            self.starts_at_once(j.spec())
-                && !j.record.cancelled
-                && self.owns(self.view.job_slice(*id, j.spec()))
-                && !self.rounds.is_suspect(*id)
-                && !self.unplaced_job(j)
-        };
-        let waiting: u32 =
-            self.view.jobs.iter().filter(|(id, j)| urgent(id, j)).map(|(id, j)| self.view.pending_count(*id, j)).sum();
+        let urgent = self.view.jobs.iter().filter(|(id, j)| self.urgent(**id, j));
+        let waiting: u32 = urgent.map(|(id, j)| self.view.pending_count(*id, j)).sum();
         if waiting == 0 {
             return None;
         }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -22,4 +22,7 @@
     /// Milliseconds since it last heard any worker; never if absent.
     #[serde(default)]
     pub heard_ms: Option<u64>,
+    /// Its rounds are full, and more waits for the rate of changes.
+    #[serde(default)]
+    pub pressed: bool,
 }
