--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -62,6 +62,8 @@
     lost: HashMap<MachineId, Micros>,
     released: BTreeSet<MachineId>,
     releasing: BTreeSet<MachineId>,
+    /// Machines whose release was answered.
+    confirmed: BTreeSet<MachineId>,
     hiring: usize,
     writing: bool,
     none_left: HashMap<Offer, (Micros, u32)>,
@@ -331,7 +333,8 @@
         patience.clamp(Micros(nominal.0 / 2 * 3), nominal * 5) + Micros::secs(5)
     }
 
-    fn write_fleet(&mut self, record: FleetRecord, new: Vec<HireRecord>) {
+    fn write_fleet(&mut self, mut record: FleetRecord, new: Vec<HireRecord>) {
+        record.releasing.retain(|m| !self.fleet.confirmed.contains(m));
         let txn = Txn {
             when: vec![(Key::Own(0), self.view.stamp(&Key::Own(0))), (Key::Fleet, self.view.fleet.stamp)],
             then: vec![Put { key: Key::Fleet, value: encode(&record), permit: None }],
@@ -603,17 +606,23 @@
         let types = self.view.types.value.iter().flat_map(|c| &c.types);
         let give_up: BTreeMap<&str, Micros> =
             types.map(|t| (t.name.as_str(), self.boot_patience(&t.name).max(t.boot * 3) + Micros::secs(5))).collect();
+        let mut given_up = Vec::new();
         for (m, k) in &self.fleet.known {
             let age = now.since(k.since);
             let unused = self.view.machine(*m).is_none() && k.status != HostStatus::Failed;
-            if unused
-                && !self.fleet.released.contains(m)
-                && give_up.get(k.build.as_str()).is_none_or(|most| age > *most)
-            {
-                tracing::info!(machine = %m, age = %age, "never came up, returning");
-                release.push(*m);
+            let late = give_up.get(k.build.as_str()).is_none_or(|most| age > *most);
+            let released = self.fleet.released.contains(m) || self.view.fleet.value.releasing.contains(m);
+            if unused && late && !released {
+                given_up.push((*m, age));
             }
         }
+        let none = given_up.is_empty();
+        self.give_up(given_up);
+        if none {
+            // An earlier owner may have given them up as well.
+            let recorded = self.view.fleet.value.releasing.iter();
+            release.extend(recorded.filter(|m| !self.fleet.confirmed.contains(m)));
+        }
         release.retain(|m| !self.fleet.releasing.contains(m));
         release.truncate(RELEASE_LIMIT);
         if !release.is_empty() {
@@ -624,6 +633,23 @@
         }
     }
 
+    /// Records that machines are given up, before their release is sent: it may be carried out late, and
+    /// they may come up until then. No controller uses them.
+    fn give_up(&mut self, machines: Vec<(MachineId, Micros)>) {
+        if machines.is_empty() || self.fleet.writing {
+            return;
+        }
+        let mut record = self.view.fleet.value.clone();
+        let most = self.cfg.value_bytes / 2 / 8;
+        for (m, age) in machines {
+            if record.releasing.len() < most {
+                tracing::info!(machine = %m, %age, "never came up, returning");
+                record.releasing.push(m);
+            }
+        }
+        self.write_fleet(record, Vec::new());
+    }
+
     /// Whether the last list shows that a machine is gone. Lists may be older than the one before, so
     /// one that was rented lately may be missing without being gone.
     fn unlisted(&self, m: MachineId) -> bool {
@@ -652,6 +678,7 @@
             if result == Ok(CloudReply::Released) {
                 tracing::info!(machine = %m, "returned");
                 self.fleet.known.remove(m);
+                self.fleet.confirmed.insert(*m);
                 self.rounds.gone(*m);
             }
         }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -304,7 +304,8 @@
             view.machine(*m)
                 .is_some_and(|r| r.fitness != Fitness::Releasing && (r.fitness, r.dead) != (mark.fitness, mark.dead))
         });
-        self.rounds.adds.retain(|m| view.machine(*m).is_none());
+        let given_up = &view.fleet.value.releasing;
+        self.rounds.adds.retain(|m| view.machine(*m).is_none() && !given_up.contains(m));
         self.rounds.gone.retain(|m| view.machine(*m).is_some());
         self.rounds.releasing.retain(|m| {
             view.machine(*m)
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -209,7 +209,8 @@
             self.reader.want_barrier();
             return ReportAnswer::Unavailable;
         }
-        if self.removed.contains(&report.machine) {
+        // One that was given up while it booted is never used: its release is under way.
+        if self.removed.contains(&report.machine) || self.view.fleet.value.releasing.contains(&report.machine) {
             return ReportAnswer::Unavailable;
         }
         let dead = self.view.machine(report.machine).map_or(0, |r| r.dead);
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -502,8 +502,8 @@
         for queue in [&mut users.submits, &mut users.aborts, &mut users.reads] {
             late.extend(queue.extract_if(.., |w| now.since(w.since) > limit(w)));
         }
-        while let Some(w) = users.finals.pop_front_if(|w| now.since(w.since) > limit(w)) {
-            late.push(w);
+        while users.finals.front().is_some_and(|w| now.since(w.since) > limit(w)) {
+            late.extend(users.finals.pop_front());
         }
         for w in late {
             self.answer(&w, Self::LATER);
