--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -346,7 +346,7 @@
                 self.view.apply(changes, &mut touched);
                 for w in batch {
                     if let Wish::Submit(spec) = &w.wish {
-                        tracing::info!(job = %w.id, lane = spec.lane, crew = spec.crew, pieces = spec.pieces, "accepted");
+                        tracing::info!(job = %w.id, lane = spec.lane, crew = spec.crew, pieces = spec.pieces, cores = spec.need.cores as f64 / 1e3, "accepted");
                     }
                     // The watch may have brought its cancellation, or its end, before this answer.
                     if self.view.jobs.get(&w.id).is_none_or(|j| j.record.cancelled) {
