--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -98,6 +98,14 @@
         if wait > Micros::ZERO { Err(now + wait.max(Micros::millis(1))) } else { Ok(()) }
     }
 
+    /// The same for a small round that must not wait: it may be paid for afterwards, by as much as a
+    /// second's changes.
+    pub fn overdraw(&mut self, now: Micros) -> Result<(), Micros> {
+        self.bring_forward(now);
+        let wait = self.requests.wait(1.0).max(self.writes.wait(-self.writes.most));
+        if wait > Micros::ZERO { Err(now + wait.max(Micros::millis(1))) } else { Ok(()) }
+    }
+
     /// Spends whatever is there: for what must not wait.
     pub fn force(&mut self, now: Micros, writes: usize) {
         self.bring_forward(now);
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -231,10 +231,15 @@
             self.wake_at(patient);
             return;
         }
-        if let Err(at) = self.budget.round(now) {
-            self.wake_at(at);
-            return;
-        }
+        // A large round of what has time must not hold up what must start at once: that may overdraw.
+        let lean_only = match self.budget.round(now) {
+            Ok(()) => false,
+            Err(_) if !self.rounds.lean && self.budget.overdraw(now).is_ok() && self.urgent_waits() => true,
+            Err(at) => {
+                self.wake_at(at);
+                return;
+            }
+        };
         let ops = self.cfg.txn_ops;
         let limits = Limits {
             ops,
@@ -243,8 +248,8 @@
             part_bytes: self.part_bytes(),
         };
         self.rounds.next = now + Micros::millis(self.op.round_ms);
-        let Some(Drafted { commit, booked, cleared }) = self.draft_round(limits) else {
-            self.rounds.looking = false;
+        let Some(Drafted { commit, booked, cleared }) = self.draft_round(limits, lean_only) else {
+            self.rounds.looking = lean_only;
             return;
         };
         self.budget.force(now, commit.txn.then.len());
@@ -265,7 +270,12 @@
         let fresh = |told: Micros| now.since(told) < Micros::secs(3);
         !self.rounds.pressed(now)
             && self.peers.values().any(|(told, hint)| hint.pressed && fresh(*told))
-            && !self.view.jobs.iter().any(|(id, j)| self.urgent(*id, j) && self.view.pending_count(*id, j) > 0)
+            && !self.urgent_waits()
+    }
+
+    /// Whether something waits that must start at once.
+    fn urgent_waits(&self) -> bool {
+        self.view.jobs.iter().any(|(id, j)| self.urgent(*id, j) && self.view.pending_count(*id, j) > 0)
     }
 
     /// Whether a job is this controller's, and must start at once.
@@ -294,7 +304,7 @@
         GroupRecord::usual_bytes(tasks.unwrap_or(0).max(1))
     }
 
-    fn draft_round(&mut self, limits: Limits) -> Option<Drafted> {
+    fn draft_round(&mut self, limits: Limits, lean_only: bool) -> Option<Drafted> {
         // What the copy shows as carried out already is not wanted any more.
         let view = &self.view;
         let has =
@@ -319,6 +329,9 @@
             self.rounds.lean = true;
             return Some(drafted);
         }
+        if lean_only {
+            return None;
+        }
         let view = &self.view;
         let mut draft = Draft::new(view, limits);
         let mut cleared = 0;
