--- a/src/bookkeeping/placement.rs
+++ b/src/bookkeeping/placement.rs
@@ -171,13 +171,12 @@
                 .enumerate()
                 .filter(|(_, s)| ask.takes(s) && ask.spec.need.fits(&s.all))
                 .filter_map(|(i, s)| {
-                    let (victims, room) = victims(s, ask)?;
-                    let n = ask.spec.need.times_in(&room, left);
+                    let (victims, room, n) = victims(s, ask, left)?;
                     let lost: u64 = s.running[s.running.len() - victims..].iter().map(|r| r.need.cores).sum();
                     // Stopping much for little is not worth what is lost.
                     let gained = n * ask.spec.need.cores;
                     let no_image = !s.has_image(&ask.spec.bundle);
-                    (n > 0 && lost <= gained * 4).then_some((
+                    (lost <= gained * 4).then_some((
                         (no_image, lost * 16 / gained.max(1), s.machine),
                         i,
                         n,
@@ -202,20 +201,25 @@
     takeovers
 }
 
-/// How many of the latest started must be stopped for one more task, and the room that there is then.
-fn victims(slot: &Slot<'_>, ask: &Ask<'_>) -> Option<(usize, Amount)> {
+/// How many of the latest started must be stopped for as many as `most` more tasks, the room that there
+/// is then, and how many tasks have it.
+fn victims(slot: &Slot<'_>, ask: &Ask<'_>, most: u64) -> Option<(usize, Amount, u64)> {
     let mut room = slot.free;
-    for (n, r) in slot.running.iter().rev().enumerate() {
+    let mut best = None;
+    let mut fit = 0;
+    for (i, r) in slot.running.iter().rev().enumerate() {
         let may = r.urgency > ask.spec.urgency || (r.borrowed && ask.guaranteed);
-        if !may {
-            return None;
+        if !may || fit >= most {
+            break;
         }
         room += r.need;
-        if ask.spec.need.fits(&room) {
-            return Some((n + 1, room));
+        let n = ask.spec.need.times_in(&room, most);
+        if n > fit {
+            fit = n;
+            best = Some((i + 1, room, n));
         }
     }
-    None
+    best
 }
 
 /// Places what fits, in the order of the asks; takes the room from the slots.
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -596,7 +596,7 @@
                 let team = self.cfg.team(&job.spec().crew);
                 let borrowed = team.is_some_and(|t| {
                     let used = self.view.usage[k].value.of(&job.spec().crew);
-                    t.has_share() && used.0 > t.guarantee.0 + job.spec().need.cores
+                    used.0 > t.guarantee.0 + job.spec().need.cores
                 });
                 Some(Running { booking: *b, need: job.spec().need, urgency: job.spec().urgency, borrowed })
             })
@@ -618,9 +618,9 @@
         let spec = job.spec();
         self.cfg.team(&spec.crew).is_some_and(|t| {
             let used = self.view.usage[k].value.of(&spec.crew);
-            t.has_share()
-                && (used.0 + spec.need.cores > t.guarantee.0
-                    || spec.need.accelerators > 0 && used.1 + spec.need.accelerators > t.guarantee.1)
+            // A team without a guarantee is always beyond it.
+            used.0 + spec.need.cores > t.guarantee.0
+                || spec.need.accelerators > 0 && used.1 + spec.need.accelerators > t.guarantee.1
         })
     }
 
