--- a/src/bookkeeping/boots.rs
+++ b/src/bookkeeping/boots.rs
@@ -32,16 +32,16 @@
 
     /// How long a boot of this type takes now: the median of the last that ended and of those that
     /// have taken longer than that already, which shows that all are late before any of them ends.
-    /// `waiting`: their ages. One that is overtaken, by a machine hired after it, is stuck and says
-    /// nothing of the others. Two boots as the catalogue says are always counted, so that a single one
+    /// `waiting`: their ages. One that takes twice as long as a machine hired after it is stuck, and
+    /// says nothing of the others. Two boots as the catalogue says are always counted, so that a single one
     /// decides nothing.
     pub fn expected(&self, build: &str, nominal: Micros, now: Micros, waiting: impl Iterator<Item = Micros>) -> Micros {
         let ended = self.ended.get(build).into_iter().flatten();
-        let hired = ended.clone().map(|b| b.at - b.took).max();
-        let lately = ended.filter(|b| now.since(b.at) < Self::MEMORY).map(|b| b.took);
+        let lately = ended.clone().filter(|b| now.since(b.at) < Self::MEMORY).map(|b| b.took);
         let mut all: Vec<Micros> = lately.chain([nominal, nominal]).collect();
         let usual = median(&mut all);
-        let overtaken = |age: Micros| hired.is_some_and(|h| now - age <= h);
+        // Machines hired at once take some more, some less.
+        let overtaken = |age: Micros| ended.clone().any(|b| b.at - b.took >= now - age && age > b.took * 2);
         // One that takes longer than usual is at least as far from its end as the catalogue says.
         let late = waiting.filter(|age| *age > usual && !overtaken(*age));
         all.extend(late.map(|age| nominal.max(age + Micros(age.0 / 4))));
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -314,8 +314,7 @@
             view.machine(*m)
                 .is_some_and(|r| r.fitness != Fitness::Releasing && (r.fitness, r.dead) != (mark.fitness, mark.dead))
         });
-        let given_up = &view.fleet.value.releasing;
-        self.rounds.adds.retain(|m| view.machine(*m).is_none() && !given_up.contains(m));
+        self.rounds.adds.retain(|m| view.machine(*m).is_none());
         self.rounds.gone.retain(|m| view.machine(*m).is_some());
         self.rounds.releasing.retain(|m| {
             view.machine(*m)
