Tidying: no copy of the teams' slices on every event, patience asked for where it is used

pump_teams cloned c/meta on every event although teams are added hardly ever; the maps of patience by type date from when working it out was dear; enquiries made a string of every machine's address to use three. Behaviour as before.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -209,11 +209,7 @@
                 .map(|j| u128::from(j.spec().need.cores) * u128::from(j.spec().guess.0 / 2));
             pools.add((&r.build, &r.yard, r.spot), catalog, 1, Some(self.view.free(r)), work.sum());
         }
-        let patience: BTreeMap<&str, Micros> =
-            catalog.types.iter().map(|t| (t.name.as_str(), self.boot_patience(&t.name))).collect();
-        let coming =
-            |m: MachineId, k: &Known| self.boots(m, k, patience.get(k.build.as_str()).copied().unwrap_or_default());
-        for (_, k) in self.fleet.known.iter().filter(|(m, k)| coming(**m, k)) {
+        for (_, k) in self.fleet.known.iter().filter(|(m, k)| self.boots(**m, k)) {
             pools.add((&k.build, &k.yard, k.spot), catalog, 1, None, 0);
         }
         // Rentals of an earlier owner whose machines no list shows yet.
@@ -281,11 +277,11 @@
     }
 
     /// Whether a known machine is still expected to come up.
-    fn boots(&self, m: MachineId, k: &Known, patience: Micros) -> bool {
+    fn boots(&self, m: MachineId, k: &Known) -> bool {
         self.view.machine(m).is_none()
             && k.status != HostStatus::Failed
             && !self.fleet.released.contains(&m)
-            && self.now.steady.since(k.since) < patience
+            && self.now.steady.since(k.since) < self.boot_patience(&k.build)
     }
 
     /// Notes which machines have come up, and what that says of their types.
@@ -506,14 +502,12 @@
         self.fleet.lists += 1;
         let sent = self.fleet.list_sent;
         self.fleet.last_list = sent;
-        let boot: BTreeMap<String, Micros> =
-            self.view.types.value.iter().flat_map(|c| &c.types).map(|t| (t.name.clone(), t.boot)).collect();
-        let nominal = |build: &str| boot.get(build).copied().unwrap_or_default();
         for h in hosts {
             if h.status == HostStatus::Failed && self.view.machine(h.id).is_some() {
                 tracing::info!(machine = %h.id, "failed, says the cloud");
                 self.rounds.gone(h.id);
             }
+            let nominal = self.nominal_boot(&h.build);
             let known = self.fleet.known.entry(h.id).or_insert_with(|| Known {
                 build: h.build.clone(),
                 yard: h.yard.clone(),
@@ -522,7 +516,7 @@
                 status: h.status,
                 listed: None,
                 // Of one that an earlier owner hired long ago only those are left that never come up.
-                booting: h.status == HostStatus::Starting && h.age < nominal(&h.build),
+                booting: h.status == HostStatus::Starting && h.age < nominal,
             });
             known.status = h.status;
             known.listed = Some(sent);
@@ -603,14 +597,14 @@
                 tracing::info!(machine = %m, why, "returning");
             }
         }
-        let types = self.view.types.value.iter().flat_map(|c| &c.types);
-        let give_up: BTreeMap<&str, Micros> =
-            types.map(|t| (t.name.as_str(), self.boot_patience(&t.name).max(t.boot * 3) + Micros::secs(5))).collect();
         let mut given_up = Vec::new();
         for (m, k) in &self.fleet.known {
             let age = now.since(k.since);
             let unused = self.view.machine(*m).is_none() && k.status != HostStatus::Failed;
-            let late = give_up.get(k.build.as_str()).is_none_or(|most| age > *most);
+            let late = self
+                .view
+                .machine_type(&k.build)
+                .is_none_or(|t| age > self.boot_patience(&k.build).max(t.boot * 3) + Micros::secs(5));
             let released = self.fleet.released.contains(m) || self.view.fleet.value.releasing.contains(m);
             if unused && late && !released {
                 given_up.push((*m, age));
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -182,6 +182,9 @@
     fn pump_teams(&mut self) {
         let now = self.now.steady;
         let Some(meta) = &self.view.meta.value else { return };
+        if !self.cfg.teams.iter().any(|t| self.unplaced(t)) {
+            return;
+        }
         let mut record = meta.clone();
         for t in self.cfg.teams.iter().filter(|t| self.unplaced(t)) {
             let settled = self.view.usage.iter().all(|u| {
--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -76,8 +76,7 @@
     fn peers_hear(&self) -> bool {
         self.peers.values().any(|(told, hint)| {
             let age = self.now.steady.since(*told);
-            let theirs = hint.heard_ms.map(|ms| Micros::millis(ms) + age);
-            theirs.is_some_and(|t| t < Micros::secs(3))
+            hint.heard_ms.is_some_and(|ms| Micros::millis(ms) + age < Micros::secs(3))
         })
     }
 
@@ -120,12 +119,8 @@
         if self.reach.asking > 0 || now < self.reach.next_ask {
             return;
         }
-        let endpoints: Vec<String> = self
-            .view
-            .machines()
-            .filter(|(_, _, r)| r.fitness == Fitness::Up)
-            .filter_map(|(_, _, r)| Some(r.endpoint?.to_string()))
-            .collect();
+        let up = self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up);
+        let endpoints: Vec<_> = up.filter_map(|(_, _, r)| r.endpoint).collect();
         if endpoints.is_empty() {
             return;
         }
@@ -136,7 +131,7 @@
             let at = (self.reach.turn + i * (endpoints.len() / count)) % endpoints.len();
             let call = self.call(Purpose::Enquiry);
             let body = direct_body(0, 0, &[]);
-            let endpoint = endpoints[at].clone();
+            let endpoint = endpoints[at].to_string();
             self.out.push(Effect::Direct { call, endpoint, body, limit: Self::ENQUIRY_LIMIT });
         }
         self.reach.turn = self.reach.turn.wrapping_add(1);
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -36,6 +36,13 @@
     tries: u32,
 }
 
+impl Waiting {
+    /// Whether its user only asks, and changes nothing.
+    fn only_asks(&self) -> bool {
+        matches!(self.wish, Wish::Query)
+    }
+}
+
 /// Requests that wait, and ends of jobs that were seen lately.
 #[derive(Debug, Default)]
 pub struct Users {
@@ -137,7 +144,7 @@
     }
 
     fn answer(&mut self, w: &Waiting, answer: UserAnswer) {
-        if matches!(w.wish, Wish::Query) {
+        if w.only_asks() {
             let polls = &mut self.users.polls;
             *match answer {
                 UserAnswer::Later(_) if w.since == self.now.steady => &mut polls.refused,
@@ -232,7 +239,7 @@
     fn await_read(&mut self, mut w: Waiting) {
         w.after = self.next_call - 1;
         // What changes something goes before what only asks.
-        if matches!(w.wish, Wish::Query) {
+        if w.only_asks() {
             self.reader.want_read();
         } else {
             self.reader.want_barrier();
@@ -273,7 +280,7 @@
             self.send_submits(batch);
         }
         while let Some(w) = self.users.finals.pop_front() {
-            let reserve = if matches!(w.wish, Wish::Query) { Self::POLLS } else { 0.0 };
+            let reserve = if w.only_asks() { Self::POLLS } else { 0.0 };
             if let Err(at) = self.budget.spend(now, 0, reserve) {
                 self.users.finals.push_front(w);
                 self.wake_at(at);
@@ -426,7 +433,7 @@
         }
         let (ready, still): (Vec<Waiting>, Vec<Waiting>) =
             std::mem::take(&mut self.users.reads).into_iter().partition(|w| self.reader.passed(w.after));
-        if still.iter().any(|w| !matches!(w.wish, Wish::Query)) {
+        if still.iter().any(|w| !w.only_asks()) {
             self.reader.want_barrier();
         } else if !still.is_empty() {
             self.reader.want_read();
@@ -443,7 +450,7 @@
                     }
                     None if self.users.absent.contains(&w.id) => self.decide_absent(w),
                     // Who asks about what nobody has submitted must not take the requests of others.
-                    None if matches!(w.wish, Wish::Query) && self.users.finals.len() >= self.most_finals() => {
+                    None if w.only_asks() && self.users.finals.len() >= self.most_finals() => {
                         self.answer(&w, Self::LATER);
                     }
                     None => self.users.finals.push_back(w),
