--- a/src/bookkeeping/finished.rs
+++ b/src/bookkeeping/finished.rs
@@ -1,18 +1,38 @@
 //! The set of finished tasks of a job, in fixed chunks so that no value outgrows the store.
 
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::borrow::Cow;
 
-/// Tasks covered by one chunk: 8,192 bits are 2 KiB in hexadecimal.
+/// Tasks covered by one chunk: 8,192 bits are 2 KiB in hexadecimal, 1.3 KiB in the terser form.
 pub const CHUNK: u32 = 8_192;
 
+/// What the terser form begins with; no hexadecimal does.
+const TERSE: char = '=';
+
 /// A bitmap over the tasks of one chunk.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub struct Finished {
     words: Vec<u64>,
     count: u32,
+    terse: bool,
 }
 
+impl PartialEq for Finished {
+    fn eq(&self, other: &Finished) -> bool {
+        self.words == other.words
+    }
+}
+
+impl Eq for Finished {}
+
 impl Finished {
+    fn of(words: Vec<u64>) -> Finished {
+        let count = words.iter().map(|w| w.count_ones()).sum();
+        Finished { words, count, terse: false }
+    }
+
     /// Whether no task is in it.
     pub fn is_empty(&self) -> bool {
         self.count == 0
@@ -23,11 +43,21 @@
         self.count
     }
 
-    /// How many bytes it takes as written.
+    /// Most bytes that it takes as written, in either form.
     pub fn bytes(&self) -> usize {
         self.words.len() * 16
     }
 
+    /// Whether it is to be written in the terser form: only where every reader understands it.
+    pub fn terse(&mut self, terse: bool) {
+        self.terse = terse;
+    }
+
+    /// Whether all tasks of the other are in it.
+    pub fn covers(&self, other: &Finished) -> bool {
+        self.count_with(other) == self.count
+    }
+
     /// Whether the task with this number within the chunk is in it.
     pub fn has(&self, bit: u32) -> bool {
         let word = self.words.get(bit as usize / 64).copied().unwrap_or(0);
@@ -69,6 +99,13 @@
 
 impl Serialize for Finished {
     fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        if self.terse {
+            let mut bytes: Vec<u8> = self.words.iter().flat_map(|w| w.to_le_bytes()).collect();
+            bytes.truncate(bytes.iter().rposition(|b| *b != 0).map_or(0, |last| last + 1));
+            let mut text = String::from(TERSE);
+            URL_SAFE_NO_PAD.encode_string(bytes, &mut text);
+            return s.serialize_str(&text);
+        }
         let text: Vec<String> = self.words.iter().map(|w| format!("{w:016x}")).collect();
         s.serialize_str(&text.concat())
     }
@@ -76,8 +113,13 @@
 
 impl<'de> Deserialize<'de> for Finished {
     fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(d)?;
+        let text = Cow::<str>::deserialize(d)?;
         let bad = || serde::de::Error::custom("not a bitmap");
+        if let Some(terse) = text.strip_prefix(TERSE) {
+            let bytes = URL_SAFE_NO_PAD.decode(terse).map_err(|_| bad())?;
+            let word = |b: &[u8]| b.iter().rev().fold(0, |w, b| w << 8 | u64::from(*b));
+            return Ok(Finished { terse: true, ..Finished::of(bytes.chunks(8).map(word).collect()) });
+        }
         if !text.is_ascii() || text.len() % 16 != 0 {
             return Err(bad());
         }
@@ -85,8 +127,7 @@
             .map(|i| u64::from_str_radix(&text[i * 16..i * 16 + 16], 16))
             .collect::<Result<Vec<_>, _>>()
             .map_err(|_| bad())?;
-        let count = words.iter().map(|w| w.count_ones()).sum();
-        Ok(Finished { words, count })
+        Ok(Finished::of(words))
     }
 }
 
@@ -104,5 +145,11 @@
         assert_eq!(back, set);
         assert_eq!(back.count(), 2);
         assert!(serde_json::from_str::<Finished>("\"zz\"").is_err());
+        set.terse(true);
+        let text = serde_json::to_string(&set).unwrap();
+        assert!(text.len() < 1_380);
+        let back: Finished = serde_json::from_str(&text).unwrap();
+        assert_eq!(back, set);
+        assert!(serde_json::from_str::<Finished>("\"=%\"").is_err());
     }
 }
--- a/src/bookkeeping/group.rs
+++ b/src/bookkeeping/group.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 /// A task's place: job number, task number, attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Booking(pub u64, pub u32, pub u64);
 
 impl Booking {
@@ -97,6 +97,8 @@
 pub struct GroupRecord {
     /// By number.
     pub machines: BTreeMap<MachineId, MachineRecord>,
+    /// It is to be written in the terser form: only where every reader understands it.
+    pub terse: bool,
 }
 
 fn digits(n: u64) -> usize {
@@ -109,7 +111,8 @@
         // The attempt's entry, the image's, and the machine's references to both.
         let attempt = digits(a.task.job.0) + digits(a.number) + 4;
         let image = image.len() + digits(size) + 6 + 4;
-        attempt + image + 5 + digits(a.task.index.into()) + 1
+        // In the terser form a mask of up to twenty digits stands beside the task's number.
+        attempt + image + 5 + digits(a.task.index.into()) + 1 + 21
     }
 
     /// Most bytes that marking one more booking as preempted can add.
@@ -142,7 +145,12 @@
     a: Vec<(u64, u64)>,
     /// Machines: number (less the one before), kind, fitness, sessions that are over, how many
     /// images, the images, then attempt and task number of each booking.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     m: Vec<Vec<u64>>,
+    /// The same in the terser form: of bookings attempt, first task number, and the tasks from there on
+    /// as the bits of a mask.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    d: Vec<Vec<u64>>,
     /// Preempted bookings: machine, attempt, task number.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     p: Vec<(u64, u64, u64)>,
@@ -187,8 +195,15 @@
             for (name, size) in &r.images {
                 m.push(images.number((&**name, *size), || ((&**name).into(), *size)));
             }
-            for b in &r.tasks {
-                m.extend([attempts.number((b.0, b.2), || (b.0, b.2)), b.1.into()]);
+            if self.terse {
+                let number = |b: &Booking| (attempts.number((b.0, b.2), || (b.0, b.2)), b.1);
+                let mut tasks: Vec<(u64, u32)> = r.tasks.iter().map(number).collect();
+                tasks.sort_unstable();
+                m.extend(masks(&tasks));
+            } else {
+                for b in &r.tasks {
+                    m.extend([attempts.number((b.0, b.2), || (b.0, b.2)), b.1.into()]);
+                }
             }
             for b in &r.preempted {
                 preempted.push((id.0, attempts.number((b.0, b.2), || (b.0, b.2)), b.1.into()));
@@ -196,10 +211,25 @@
             last = id.0;
             machines.push(m);
         }
-        Wire { k: kinds.all, i: images.all, a: attempts.all, m: machines, p: preempted }.serialize(s)
+        let (m, d) = if self.terse { (Vec::new(), machines) } else { (machines, Vec::new()) };
+        Wire { k: kinds.all, i: images.all, a: attempts.all, m, d, p: preempted }.serialize(s)
     }
 }
 
+/// Tasks, in order, by attempt, first task number and mask.
+fn masks(tasks: &[(u64, u32)]) -> Vec<u64> {
+    let mut all = Vec::new();
+    for (attempt, index) in tasks {
+        match &mut all[..] {
+            [.., a, first, mask] if a == attempt && u64::from(*index) - *first < 64 => {
+                *mask |= 1u64 << (u64::from(*index) - *first);
+            }
+            _ => all.extend([*attempt, u64::from(*index), 1]),
+        }
+    }
+    all
+}
+
 impl Wire<'_> {
     /// `None` if a number refers to nothing.
     fn record(self) -> Option<GroupRecord> {
@@ -213,7 +243,8 @@
         };
         let mut machines = BTreeMap::new();
         let mut last: u64 = 0;
-        for m in self.m {
+        let terse = self.m.is_empty();
+        for m in self.m.into_iter().chain(self.d) {
             let [id, kind, fitness, dead, images_here, rest @ ..] = &*m else { return None };
             last = last.checked_add(*id)?;
             let (build, yard, spot, address) = kinds.get(usize::try_from(*kind).ok()?)?;
@@ -234,7 +265,15 @@
                 fitness: *Fitness::ALL.get(usize::try_from(*fitness).ok()?)?,
                 dead: *dead,
                 images: has.collect::<Option<_>>()?,
-                tasks: tasks.chunks(2).map(|t| booking(t[0], *t.get(1)?)).collect::<Option<_>>()?,
+                tasks: if terse {
+                    let masks = tasks.chunks(3).map(|t| Some((t[0], *t.get(1)?, *t.get(2)?)));
+                    let masks = masks.collect::<Option<Vec<_>>>()?;
+                    let bits = |mask: u64| (0..64).filter(move |b| mask >> b & 1 == 1);
+                    let each = masks.into_iter().flat_map(|(a, first, mask)| bits(mask).map(move |b| (a, first, b)));
+                    each.map(|(a, first, b)| booking(a, first.checked_add(b)?)).collect::<Option<_>>()?
+                } else {
+                    tasks.chunks(2).map(|t| booking(t[0], *t.get(1)?)).collect::<Option<_>>()?
+                },
                 preempted: Vec::new(),
             };
             machines.insert(MachineId(last), record);
@@ -242,7 +281,7 @@
         for (id, attempt, index) in &self.p {
             machines.get_mut(&MachineId(*id))?.preempted.push(booking(*attempt, *index)?);
         }
-        Some(GroupRecord { machines })
+        Some(GroupRecord { machines, terse })
     }
 }
 
@@ -275,8 +314,13 @@
     /// the store's limit would be refused for ever.
     #[test]
     fn estimates_are_upper_bounds_and_records_survive_the_store() {
+        grows_as_estimated(false);
+        grows_as_estimated(true);
+    }
+
+    fn grows_as_estimated(terse: bool) {
         let size = |g: &GroupRecord| serde_json::to_string(g).unwrap().len();
-        let mut g = GroupRecord::default();
+        let mut g = GroupRecord { terse, ..GroupRecord::default() };
         for i in 0..130u64 {
             let id = MachineId(900 + i * 997);
             let mut new = machine(&format!("10.1.{}.{}:9000", i / 200, 1 + i % 200));
@@ -303,7 +347,9 @@
             }
         }
         let text = serde_json::to_string(&g).unwrap();
-        assert_eq!(serde_json::from_str::<GroupRecord>(&text).unwrap(), g);
+        let mut back = serde_json::from_str::<GroupRecord>(&text).unwrap();
+        back.machines.values_mut().chain(g.machines.values_mut()).for_each(|r| r.tasks.sort_unstable());
+        assert_eq!(back, g);
         assert!(serde_json::from_str::<GroupRecord>(r#"{"k":[],"i":[],"a":[],"m":[[1,0,0,0,0]]}"#).is_err());
         assert!(serde_json::from_str::<GroupRecord>(r#"{"m":{}}"#).is_err(), "the first layout");
     }
--- a/src/bookkeeping/job.rs
+++ b/src/bookkeeping/job.rs
@@ -3,7 +3,7 @@
 use super::amount::{Amount, is_zero};
 use super::catalog::MachineType;
 use super::finished::{CHUNK, Finished};
-use super::ids::MachineId;
+use super::ids::{JobId, MachineId};
 use super::time::Micros;
 use serde::{Deserialize, Serialize};
 
@@ -81,6 +81,9 @@
     /// Deadline from submission.
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     pub due: Option<Micros>,
+    /// Jobs that must be done before any of its tasks starts, in order and each once.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<JobId>,
 }
 
 pub(crate) fn is_false(b: &bool) -> bool {
@@ -159,6 +162,12 @@
         self.finished.count() + self.more
     }
 
+    /// The same, to be written in the terser form or not.
+    pub fn terse(mut self, terse: bool) -> JobRecord {
+        self.finished.terse(terse);
+        self
+    }
+
     /// Remembers that a task failed on a machine.
     pub fn failed_on(&mut self, machine: MachineId) {
         const REMEMBERED: usize = 6;
@@ -180,4 +189,7 @@
     /// Finished tasks.
     #[serde(rename = "n")]
     pub done: u32,
+    /// When it ended, by the time of day; zero if that was not kept.
+    #[serde(rename = "t", default, skip_serializing_if = "is_no_time")]
+    pub at: Micros,
 }
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -8,6 +8,7 @@
 pub mod group;
 pub mod ids;
 pub mod job;
+pub mod pipeline;
 pub mod placement;
 pub mod records;
 pub mod time;
--- a/src/bookkeeping/placement.rs
+++ b/src/bookkeeping/placement.rs
@@ -91,6 +91,8 @@
     pub job: JobId,
     /// What was asked for.
     pub spec: &'a JobSpec,
+    /// How urgent it is, for itself or for what needs it.
+    pub urgency: Urgency,
     /// Tasks, in order.
     pub tasks: Vec<u32>,
     /// Tasks of the job by zone that are booked already.
@@ -208,7 +210,7 @@
     let mut best = None;
     let mut fit = 0;
     for (i, r) in slot.running.iter().rev().enumerate() {
-        let may = r.urgency > ask.spec.urgency || (r.borrowed && ask.guaranteed);
+        let may = r.urgency > ask.urgency || (r.borrowed && ask.guaranteed);
         if !may || fit >= most {
             break;
         }
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -86,14 +86,20 @@
     }
 }
 
-/// How the live records are laid out. It is raised whenever they change in a way that an earlier
-/// version would misread; see [`MetaRecord::layout`].
-pub const LAYOUT: u32 = 2;
+/// How the live records are laid out at most, as this version understands it. It is raised whenever
+/// they change in a way that an earlier version would misread; see [`MetaRecord::layout`].
+pub const LAYOUT: u32 = 3;
+
+/// The first layout whose groups and finished sets have the terser written forms.
+pub const TERSE: u32 = 3;
+
+/// The layout that a deployment starts with, and keeps until all of its controllers understand more.
+pub const FIRST_LAYOUT: u32 = 2;
 
 /// What all controllers agree on once and for all.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MetaRecord {
-    /// Layout of the live records, [`LAYOUT`] for this version. The first one had no number.
+    /// Layout of the live records, [`FIRST_LAYOUT`] to [`LAYOUT`]. The very first one had no number.
     #[serde(default)]
     pub layout: u32,
     /// Number of slices.
@@ -112,6 +118,9 @@
 pub struct NodeRecord {
     /// The process that lives.
     pub run: Incarnation,
+    /// The latest layout that it understands. Versions before the third did not say.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub layout: Option<u32>,
 }
 
 /// The owner of a slice. The record's stamp is the owner's term.
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -9,10 +9,12 @@
 use super::catalog::{Catalog, MachineType};
 use super::finished::{CHUNK, Finished};
 use super::ids::{JobId, MachineId, Part, Slice, TaskId};
-use super::job::{FinalRecord, JobRecord, JobSpec};
+use super::job::{FinalRecord, JobRecord, JobSpec, Urgency};
+use super::pipeline::{Graph, Stage};
 use super::records::{
-    Booking, FleetRecord, GroupRecord, Key, LAYOUT, MachineRecord, MetaRecord, NodeRecord, OwnRecord, UsageRecord,
+    Booking, FIRST_LAYOUT, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord, OwnRecord, UsageRecord,
 };
+use super::time::Micros;
 use std::collections::{BTreeMap, HashMap};
 
 /// A record's new content.
@@ -69,9 +71,26 @@
     pub chunks: BTreeMap<u32, Stamped<Finished>>,
     /// Finished tasks that the slice's usage record has, and the job's own may not have yet.
     pub ends: Finished,
+    /// Where it stands in its pipeline.
+    pub stage: Stage,
 }
 
 impl Job {
+    /// Whether it is cancelled, by its own user or because of a job that it awaits.
+    pub fn cancelled(&self) -> bool {
+        self.record.cancelled || self.stage.cancelled
+    }
+
+    /// Whether its tasks may be booked: everything that it awaits is known to be done.
+    pub fn ready(&self) -> bool {
+        !self.cancelled() && !self.stage.waits
+    }
+
+    /// How urgent it is, for itself or for what needs it.
+    pub fn urgency(&self) -> Urgency {
+        self.stage.urgency
+    }
+
     /// How many tasks are finished.
     pub fn done(&self) -> u32 {
         self.record.finished.count_with(&self.ends) + self.record.more
@@ -86,12 +105,6 @@
         }
     }
 
-    /// How it ended, as its record was when it went.
-    fn ending(&self) -> FinalRecord {
-        let cancelled = self.record.cancelled;
-        FinalRecord { cancelled, done: if cancelled { self.done() } else { self.record.spec.pieces } }
-    }
-
     /// Whether it seems to be the job's own fault that its tasks fail: on several machines, and nothing
     /// of it was completed, or far less than failed. A replica that goes on running completes nothing.
     pub fn suspect(&self) -> bool {
@@ -126,15 +139,33 @@
     pub usage: bool,
     /// Jobs that came, changed or went.
     pub jobs: Vec<JobId>,
-    /// Jobs whose records were removed, and how they ended: a live record goes only as its job ends.
+    /// Jobs whose records were removed, and how they ended, where that is known.
     pub ended: Vec<(JobId, FinalRecord)>,
     /// A controller came or went.
     pub nodes: bool,
 }
 
+/// Takes a machine's bookings out of the index.
+fn unindex(booked: &mut HashMap<JobId, BTreeMap<u32, Place>>, m: MachineId, record: &MachineRecord) {
+    for Booking(job, index, number) in &record.tasks {
+        let place = Place { machine: m, number: *number };
+        if let Some(tasks) = booked.get_mut(&JobId(*job)) {
+            // A task that moved is indexed at its new place already.
+            if tasks.get(index) == Some(&place) {
+                tasks.remove(index);
+            }
+            if tasks.is_empty() {
+                booked.remove(&JobId(*job));
+            }
+        }
+    }
+}
+
 /// The private copy.
 #[derive(Debug, Default)]
 pub struct View {
+    /// The time of day, as its controller last told it.
+    pub today: Micros,
     /// All changes up to this revision are in.
     pub epoch: u64,
     /// The latest revision of which anything is in.
@@ -155,7 +186,11 @@
     pub usage: Vec<Stamped<UsageRecord>>,
     /// Live jobs.
     pub jobs: HashMap<JobId, Job>,
+    /// Which of them await which.
+    pub pipelines: Graph,
     parts: HashMap<MachineId, Part>,
+    /// Machines that a lower part still lists although they were copied to a higher one, with that part.
+    stale: HashMap<MachineId, Part>,
     booked: HashMap<JobId, BTreeMap<u32, Place>>,
     gone: HashMap<Key, u64>,
 }
@@ -217,9 +252,19 @@
             .flat_map(|g| g.value.machines.iter().map(|(m, r)| (*m, r)))
     }
 
-    /// The kept records are of another layout than this version's and must not be touched.
-    pub fn foreign(&self) -> bool {
-        self.meta.value.as_ref().is_some_and(|m| m.layout != LAYOUT)
+    /// The layout of the kept records.
+    pub fn layout(&self) -> u32 {
+        self.meta.value.as_ref().map_or(FIRST_LAYOUT, |m| m.layout)
+    }
+
+    /// The kept records are of a layout that is not understood, at most this one, and must not be touched.
+    pub fn foreign(&self, understood: u32) -> bool {
+        !(FIRST_LAYOUT..=understood).contains(&self.layout())
+    }
+
+    /// How a job ended that live ones await, and of which that was not known.
+    pub fn learn(&mut self, id: JobId, end: FinalRecord, touched: &mut Touched) {
+        self.pipelines.learn(id, end, &mut self.jobs, &mut touched.jobs);
     }
 
     /// The type of this name.
@@ -356,21 +401,28 @@
                 let record = *record;
                 match self.jobs.get_mut(&id) {
                     Some(job) => {
+                        let cancels = record.cancelled && !job.record.cancelled;
                         job.record = record;
                         job.stamp = stamp;
+                        if cancels {
+                            self.pipelines.cancelled(id, &mut self.jobs, &mut touched.jobs);
+                        }
                     }
                     None => {
                         let usage = self.usage.get(self.job_slice(id, &record.spec));
                         let ends = usage.and_then(|u| u.value.ends.get(&id)).cloned().unwrap_or_default();
                         let chunks = BTreeMap::new();
-                        self.jobs.insert(id, Job { record, stamp, chunks, ends });
+                        let stage = Stage::alone(&record.spec);
+                        self.jobs.insert(id, Job { record, stamp, chunks, ends, stage });
+                        self.pipelines.appeared(id, &mut self.jobs, &mut touched.jobs);
                     }
                 }
                 touched.jobs.push(id);
             }
             (Key::Job(id), None) => {
                 if let Some(job) = self.jobs.remove(&id) {
-                    touched.ended.push((id, job.ending()));
+                    let end = self.pipelines.ended(id, &job, self.today, &mut self.jobs, &mut touched.jobs);
+                    touched.ended.extend(end.map(|e| (id, e)));
                 }
                 touched.jobs.push(id);
             }
@@ -406,8 +458,42 @@
         }
     }
 
+    /// Whether a lower part of its slice still lists a machine that was copied: it must stay where it is,
+    /// or it would be seen there again.
+    pub fn is_stale(&self, m: MachineId) -> bool {
+        self.stale.contains_key(&m)
+    }
+
     /// Replaces a group, and brings the indexes along for what changed in it.
-    fn put_group(&mut self, k: Slice, n: Part, new: Option<Stamped<GroupRecord>>, touched: &mut Touched) {
+    ///
+    /// Machines go from a part that is too large to higher ones only, and of one that two parts list the
+    /// higher part counts: the lower could not be written any more, or was read before it was.
+    fn put_group(&mut self, k: Slice, n: Part, mut new: Option<Stamped<GroupRecord>>, touched: &mut Touched) {
+        if !self.stale.is_empty() {
+            let of_this = |m: &MachineId| (m.0 % self.slices().max(1) as u64) as Slice == k;
+            let again: Vec<MachineId> =
+                self.stale.iter().filter(|(m, p)| **p == n && of_this(m)).map(|(m, _)| *m).collect();
+            again.iter().for_each(|m| {
+                self.stale.remove(m);
+            });
+        }
+        if let Some(g) = &mut new {
+            let (parts, stale) = (&self.parts, &mut self.stale);
+            g.value.machines.retain(|m, _| {
+                let higher = parts.get(m).is_some_and(|p| *p > n);
+                if higher {
+                    stale.insert(*m, n);
+                }
+                !higher
+            });
+            for m in g.value.machines.keys() {
+                if let Some(p) = self.parts.get(m).filter(|p| **p < n).copied() {
+                    self.stale.insert(*m, p);
+                    let low = self.groups[k].get_mut(&p).and_then(|low| low.value.machines.remove(m));
+                    low.iter().for_each(|r| unindex(&mut self.booked, *m, r));
+                }
+            }
+        }
         let old = match new {
             Some(g) => self.groups[k].insert(n, g),
             None => self.groups[k].remove(&n),
@@ -421,18 +507,11 @@
                 continue;
             }
             touched.machines.push(*m);
-            for Booking(job, index, number) in &record.tasks {
-                let place = Place { machine: *m, number: *number };
-                if let Some(tasks) = self.booked.get_mut(&JobId(*job)) {
-                    // A task that moved is indexed at its new place already.
-                    if tasks.get(index) == Some(&place) {
-                        tasks.remove(index);
-                    }
-                    if tasks.is_empty() {
-                        self.booked.remove(&JobId(*job));
-                    }
-                }
+            if self.parts.get(m).is_some_and(|p| *p != n) {
+                // It has gone to another part, and is indexed there.
+                continue;
             }
+            unindex(&mut self.booked, *m, record);
             if now.is_none() && self.parts.get(m) == Some(&n) {
                 self.parts.remove(m);
             }
@@ -455,6 +534,6 @@
 
     /// Forgets everything before a full reread; revisions start anew.
     pub fn clear(&mut self) {
-        *self = View::default();
+        *self = View { today: self.today, ..View::default() };
     }
 }
--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -67,6 +67,14 @@
         self.writes.rate = self.even + unused.sum::<f64>();
     }
 
+    /// The service takes another rate of changes from now on.
+    pub fn set_writes(&mut self, writes: f64) {
+        self.even = writes * 0.97;
+        self.writes.rate = self.writes.rate.min(self.even);
+        self.writes.most = self.even.max(1.0);
+        self.writes.level = self.writes.level.min(self.writes.most);
+    }
+
     fn bring_forward(&mut self, now: Micros) {
         let span = now.since(self.at);
         self.at = self.at.max(now);
--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -1,10 +1,12 @@
 //! A transaction in the making: edited copies of records, with their conditions.
 
+pub mod shrink;
+
 use super::sessions::{Mark, Outcome};
 use crate::bookkeeping::finished::{CHUNK, Finished};
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Part, Slice};
 use crate::bookkeeping::job::{FinalRecord, JobRecord};
-use crate::bookkeeping::records::{Booking, Fitness, GroupRecord, Key, MachineRecord, UsageRecord};
+use crate::bookkeeping::records::{Booking, Fitness, GroupRecord, Key, MachineRecord, OwnRecord, TERSE, UsageRecord};
 use crate::bookkeeping::view::{Change, Content, Job, View};
 use crate::protocol::state::{Put, Txn, encode};
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,18 +28,39 @@
     pub ops: usize,
     /// Conditions.
     pub conditions: usize,
-    /// Bytes of one value.
+    /// Bytes that a value may grow to.
     pub value_bytes: usize,
+    /// Bytes of the largest value that the service takes: what is larger already must not grow, but may
+    /// be written.
+    pub taken_bytes: usize,
+    /// Values that are larger than they should become may grow all the same: controllers of the version
+    /// before let them grow, too.
+    pub large_grow: bool,
     /// Bytes that a group should have at most once its machines are full, and the bound of what
     /// a usage record keeps of ended tasks.
     pub part_bytes: usize,
 }
 
+impl Limits {
+    /// How large a value may become that has so many bytes now.
+    fn most(&self, bytes: usize) -> usize {
+        if bytes <= self.value_bytes {
+            self.value_bytes
+        } else if self.large_grow {
+            self.taken_bytes
+        } else {
+            bytes
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct GroupEdit {
     record: GroupRecord,
     /// At least as many as the record has.
     bytes: usize,
+    /// Most that it may have.
+    most: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -68,6 +91,10 @@
     removed_chunks: BTreeSet<(JobId, u32)>,
     conditions: BTreeSet<Key>,
     bytes: usize,
+    /// The terser written forms are understood by all.
+    terse: bool,
+    /// A slice whose term it raises, and the owner.
+    raise: Option<(Slice, OwnRecord)>,
 }
 
 /// A finished draft: the transaction, and what it changes in the copy when it succeeds.
@@ -86,7 +113,8 @@
 struct Needs<'a> {
     groups: &'a [(Slice, Part)],
     usage: Option<Slice>,
-    job: Option<JobId>,
+    /// A job, and the changes that it takes beyond that of its record.
+    job: Option<(JobId, usize)>,
     conditions: &'a [Key],
 }
 
@@ -108,6 +136,8 @@
             removed_chunks: BTreeSet::new(),
             conditions: BTreeSet::new(),
             bytes: 0,
+            terse: view.layout() >= TERSE,
+            raise: None,
         }
     }
 
@@ -119,7 +149,7 @@
     /// Changes so far. A job that ends takes two: its record goes, its end is kept.
     fn ops(&self) -> usize {
         let jobs: usize = self.jobs.values().map(|j| j.chunks.len() + 1 + usize::from(j.ended.is_some())).sum();
-        self.groups.len() + self.usage.len() + jobs + self.removed_chunks.len()
+        self.groups.len() + self.usage.len() + jobs + self.removed_chunks.len() + usize::from(self.raise.is_some())
     }
 
     /// Changes that it may still take.
@@ -152,20 +182,22 @@
         let new_usage = needs.usage.filter(|k| !self.usage.contains_key(k));
         ops += new_groups.len() + usize::from(new_usage.is_some());
         let mut job_bytes = 0;
-        if let Some(id) = needs.job
+        if let Some((id, more)) = needs.job
             && let Some(job) = self.view.jobs.get(&id)
         {
-            // A job may turn out to end, or to write one more chunk.
-            let chunked = job.spec().extra_chunks() > 0;
-            let new = !self.jobs.contains_key(&id);
-            ops += 1 + usize::from(chunked) + usize::from(new);
-            if new {
+            ops += more;
+            if !self.jobs.contains_key(&id) {
+                ops += 1;
                 // The bitmaps, which may be full already, are two hexadecimal digits a byte.
                 let bitmap = job.spec().pieces.min(CHUNK) as usize / 4 + 16;
-                job_bytes = size_of(&job.record) + 512 + bitmap * (1 + usize::from(chunked));
+                job_bytes = size_of(&job.record) + 512 + bitmap * (1 + job.spec().extra_chunks().min(1) as usize);
             }
         }
-        let new_conditions = needs.conditions.iter().filter(|c| !self.conditions.contains(c)).count();
+        // While machines of a slice are being copied from a group that is too large, its term changes with
+        // every step: whoever plans on a copy of before then fails.
+        let owners = needs.groups.iter().map(|(k, _)| Key::Own(*k));
+        let wanted: Vec<Key> = needs.conditions.iter().cloned().chain(owners).collect();
+        let new_conditions = wanted.iter().filter(|c| !self.conditions.contains(c)).count();
         // Everything written is a condition as well.
         let all = ops + self.conditions.len() + new_conditions;
         if ops > self.limits.ops || all > self.limits.conditions {
@@ -175,15 +207,27 @@
             .into_iter()
             .map(|(k, n)| {
                 let record = self.view.groups[k].get(&n).map(|g| g.value.clone()).unwrap_or_default();
+                let record = GroupRecord { terse: self.terse, ..record };
                 let bytes = size_of(&record);
-                ((k, n), GroupEdit { record, bytes })
+                ((k, n), GroupEdit { record, bytes, most: self.limits.most(bytes) })
             })
             .collect();
         let usage = new_usage.map(|k| {
-            let record = self.view.usage[k].value.clone();
-            let bytes = size_of(&record) + SPARE_BYTES;
-            (k, UsageEdit { record, bytes })
+            let mut record = self.view.usage[k].value.clone();
+            // The ends of a job that has ended itself say nothing more, and those that its record has.
+            let needed =
+                |id: &JobId, ends: &Finished| self.view.jobs.get(id).is_some_and(|j| !j.record.finished.covers(ends));
+            record.ends.retain(|id, ends| needed(id, ends));
+            record.ends.values_mut().for_each(|e| e.terse(self.terse));
+            let bytes = size_of(&record);
+            (k, UsageEdit { record, bytes: bytes + SPARE_BYTES })
         });
+        let too_large = |bytes: usize| bytes > self.limits.taken_bytes;
+        if groups.iter().any(|(_, g)| too_large(g.bytes))
+            || usage.as_ref().is_some_and(|(_, u)| too_large(u.bytes - SPARE_BYTES))
+        {
+            return false;
+        }
         let more: usize = groups.iter().map(|(_, g)| g.bytes).sum();
         let more = more + usage.as_ref().map_or(0, |(_, u)| u.bytes) + job_bytes;
         if self.bytes + more > TXN_BYTES {
@@ -192,7 +236,7 @@
         self.bytes += more;
         self.groups.extend(groups);
         self.usage.extend(usage);
-        if let Some(id) = needs.job.filter(|id| !self.jobs.contains_key(id))
+        if let Some(id) = needs.job.map(|(id, _)| id).filter(|id| !self.jobs.contains_key(id))
             && let Some(job) = self.view.jobs.get(&id)
         {
             let mut record = job.record.clone();
@@ -203,7 +247,7 @@
             }
             self.jobs.insert(id, JobEdit { record, chunks: BTreeMap::new(), ended: None });
         }
-        self.conditions.extend(needs.conditions.iter().cloned());
+        self.conditions.extend(wanted);
         true
     }
 
@@ -212,11 +256,11 @@
         let Some(g) = self.groups.get_mut(&at) else {
             return false;
         };
-        if g.bytes + by + spare > self.limits.value_bytes {
+        if g.bytes + by + spare > g.most {
             // What was added up are upper bounds; near the limit it is worth looking.
             g.bytes = size_of(&g.record);
         }
-        if g.bytes + by + spare > self.limits.value_bytes || self.bytes + by > TXN_BYTES {
+        if g.bytes + by + spare > g.most || self.bytes + by > TXN_BYTES {
             return false;
         }
         g.bytes += by;
@@ -343,10 +387,15 @@
         };
         let spec = job.spec();
         let k = view.job_slice(id, spec);
-        let counts = outcome != Outcome::Again && !job.record.cancelled;
+        let counts = outcome != Outcome::Again && !job.cancelled();
         let usage = (outcome == Outcome::Done && self.goes_with_usage(job, a, k)).then_some(k);
-        let own = (counts && usage.is_none()).then_some(id);
-        if !self.reserve(Needs { groups: &[at], usage: Some(k), job: own, conditions: &[Key::Own(by)] }) {
+        let own = counts && usage.is_none();
+        let more = if outcome == Outcome::Done { self.more_changes(job, a) } else { 0 };
+        let (groups, conditions) = (&[at], &[Key::Own(by)]);
+        let needs = |more| Needs { groups, usage: Some(k), job: own.then_some((id, more)), conditions };
+        // Where the end of the job has no room in the same transaction, it goes out later: see `end_done`.
+        let whole = self.reserve(needs(more));
+        if !whole && (more < 2 || !self.terse || !self.reserve(needs(more - 1))) {
             return false;
         }
         if let Some(u) = self.usage.get_mut(&k) {
@@ -370,7 +419,7 @@
                     self.bytes += more;
                 }
             }
-            (Outcome::Done, None) => self.finish(id, a.task.index),
+            (Outcome::Done, None) => self.finish(id, a.task.index, whole),
             _ => {
                 if let Some(j) = self.jobs.get_mut(&id) {
                     j.record.failed_on(m);
@@ -384,7 +433,7 @@
     /// written for another reason, and there is room.
     fn goes_with_usage(&self, job: &Job, a: Attempt, k: Slice) -> bool {
         let id = a.task.job;
-        if job.spec().pieces > SMALL_JOB || job.record.cancelled || self.jobs.contains_key(&id) {
+        if job.spec().pieces > SMALL_JOB || job.cancelled() || self.jobs.contains_key(&id) {
             return false;
         }
         let none = Finished::default();
@@ -398,7 +447,27 @@
         done < job.spec().pieces && bytes + ENTRY_BYTES + (SMALL_JOB / 4) as usize + SPARE_BYTES <= most
     }
 
-    fn finish(&mut self, id: JobId, index: u32) {
+    /// What the usage record would keep of a job's ends.
+    fn ends_of<'b>(&'b self, id: JobId, job: &'b Job) -> &'b Finished {
+        let k = self.view.job_slice(id, job.spec());
+        self.usage.get(&k).and_then(|u| u.record.ends.get(&id)).unwrap_or(&job.ends)
+    }
+
+    /// Changes that the completion of a task takes beyond those of its group, its team's usage and its
+    /// job's record: a further chunk, and the end of the job.
+    fn more_changes(&self, job: &Job, a: Attempt) -> usize {
+        let edit = self.jobs.get(&a.task.job);
+        let n = a.task.index / CHUNK;
+        let chunk = n > 0 && edit.is_none_or(|e| !e.chunks.contains_key(&n));
+        let done = edit.map_or_else(
+            || job.record.finished.count_with(self.ends_of(a.task.job, job)) + job.record.more,
+            |e| e.record.done(),
+        );
+        usize::from(chunk) + usize::from(done + 1 >= job.spec().pieces)
+    }
+
+    /// Notes that a task is completed. `ends`: there is room for the end of the job as well.
+    fn finish(&mut self, id: JobId, index: u32, ends: bool) {
         let Some(job) = self.view.jobs.get(&id) else {
             return;
         };
@@ -420,9 +489,30 @@
                 }
             }
         }
-        if edit.record.done() >= edit.record.spec.pieces {
-            edit.ended = Some(FinalRecord { cancelled: false, done: edit.record.done() });
+        if ends && edit.record.done() >= edit.record.spec.pieces {
+            edit.ended = Some(FinalRecord { cancelled: false, done: edit.record.done(), at: self.view.today });
+        }
+    }
+
+    /// Ends a job whose tasks are all done.
+    pub fn end_done(&mut self, id: JobId) -> bool {
+        let Some(job) = self.view.jobs.get(&id) else { return true };
+        self.end(id, job, FinalRecord { cancelled: false, done: job.spec().pieces, at: self.view.today })
+    }
+
+    fn end(&mut self, id: JobId, job: &Job, end: FinalRecord) -> bool {
+        let k = self.view.job_slice(id, job.spec());
+        // What the usage record keeps of it goes along, if that can be written.
+        let kept = self.view.usage[k].value.ends.contains_key(&id).then_some(k);
+        let conditions = &[Key::Own(k)];
+        let needs = |usage| Needs { usage, job: Some((id, 1)), conditions, ..Needs::default() };
+        if !self.reserve(needs(kept)) && !self.reserve(needs(None)) {
+            return false;
+        }
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.ended = Some(end);
         }
+        true
     }
 
     /// Ends a cancelled job of which nothing is booked. Large ones shed their chunks first.
@@ -430,7 +520,6 @@
         let Some(job) = self.view.jobs.get(&id) else {
             return true;
         };
-        let k = self.view.job_slice(id, job.spec());
         if let Some(n) = job.chunks.keys().next() {
             if self.ops() + 1 > self.limits.ops {
                 return false;
@@ -438,21 +527,14 @@
             self.removed_chunks.insert((id, *n));
             return true;
         }
-        let done = job.done();
-        if !self.reserve(Needs { usage: Some(k), job: Some(id), conditions: &[Key::Own(k)], ..Needs::default() }) {
-            return false;
-        }
-        if let Some(j) = self.jobs.get_mut(&id) {
-            j.ended = Some(FinalRecord { cancelled: true, done });
-        }
-        true
+        self.end(id, job, FinalRecord { cancelled: true, done: job.done(), at: self.view.today })
     }
 
     /// Moves what the usage record keeps of a job's ends into the job's own record.
     pub fn settle(&mut self, id: JobId) -> bool {
         let Some(job) = self.view.jobs.get(&id) else { return true };
         let k = self.view.job_slice(id, job.spec());
-        self.reserve(Needs { usage: Some(k), job: Some(id), conditions: &[Key::Own(k)], ..Needs::default() })
+        self.reserve(Needs { usage: Some(k), job: Some((id, 0)), conditions: &[Key::Own(k)], ..Needs::default() })
     }
 
     /// Books a task.
@@ -517,6 +599,7 @@
     pub fn remove(&mut self, m: MachineId) -> bool {
         match self.machine(m) {
             None => return true,
+            Some(_) if self.view.is_stale(m) => return false,
             Some(r) if !r.tasks.is_empty() => return false,
             Some(_) => {}
         }
@@ -538,8 +621,9 @@
             let value = match &content {
                 Some(Content::Group(g)) => encode(g),
                 Some(Content::Usage(u)) => encode(u),
-                Some(Content::Job(j)) => encode(j),
+                Some(Content::Job(j)) => encode(&**j),
                 Some(Content::Chunk(c)) => encode(c),
+                Some(Content::Own(o)) => encode(o),
                 _ => None,
             };
             conditions.insert(key.clone());
@@ -551,15 +635,21 @@
             let open = n == 0 || !g.record.machines.is_empty();
             put(Key::Group(k, n), open.then_some(Content::Group(g.record)));
         }
-        for (k, u) in self.usage {
+        for (k, mut u) in self.usage {
+            u.record.ends.values_mut().for_each(|e| e.terse(self.terse));
             put(Key::Usage(k), Some(Content::Usage(u.record)));
         }
+        if let Some((k, me)) = self.raise {
+            put(Key::Own(k), Some(Content::Own(me)));
+        }
         for (id, n) in self.removed_chunks {
             put(Key::Chunk(id, n), None);
         }
         let mut finals = Vec::new();
-        for (id, edit) in self.jobs {
-            for (n, chunk) in edit.chunks {
+        for (id, mut edit) in self.jobs {
+            edit.record.finished.terse(self.terse);
+            for (n, mut chunk) in edit.chunks {
+                chunk.terse(self.terse);
                 let known = self.view.stamp(&Key::Chunk(id, n)) > 0;
                 let full = edit.record.full >> n & 1 == 1;
                 if !full {
@@ -589,7 +679,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::bookkeeping::records::{LAYOUT, MetaRecord};
+    use crate::bookkeeping::records::{FIRST_LAYOUT, MetaRecord};
     use crate::bookkeeping::view::Touched;
 
     fn machine() -> MachineRecord {
@@ -608,7 +698,14 @@
 
     fn drafted(view: &View, work: impl FnOnce(&mut Draft<'_>)) -> Commit {
         // Groups have room for two machines.
-        let limits = Limits { ops: 12, conditions: 48, value_bytes: 4_096, part_bytes: 500 };
+        let limits = Limits {
+            ops: 12,
+            conditions: 48,
+            value_bytes: 4_096,
+            taken_bytes: 4_096,
+            large_grow: false,
+            part_bytes: 500,
+        };
         let mut draft = Draft::new(view, limits);
         work(&mut draft);
         draft.commit()
@@ -631,7 +728,7 @@
 
     fn new_view() -> View {
         let mut view = View::default();
-        let meta = MetaRecord { layout: LAYOUT, slices: 1, teams: BTreeMap::new() };
+        let meta = MetaRecord { layout: FIRST_LAYOUT, slices: 1, teams: BTreeMap::new() };
         let change = Change { key: Key::Meta, content: Some(Content::Meta(meta)), stamp: 1 };
         view.apply([change], &mut Touched::default());
         view.advance(1);
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -172,11 +172,9 @@
             .view
             .jobs
             .iter()
-            .filter(|(id, j)| {
-                !j.record.cancelled && !self.rounds.is_suspect(**id) && self.view.pending_count(**id, j) > 0
-            })
+            .filter(|(id, j)| j.ready() && !self.rounds.is_suspect(**id) && self.view.pending_count(**id, j) > 0)
             .collect();
-        jobs.sort_by_key(|(id, j)| (j.spec().urgency, self.latest_start(j), **id));
+        jobs.sort_by_key(|(id, j)| (j.urgency(), self.latest_start(j), **id));
         let mut used: BTreeMap<&str, u64> = BTreeMap::new();
         let mut demands = Vec::new();
         for (id, j) in jobs {
@@ -247,7 +245,7 @@
         let mut new = Vec::new();
         // A rental must not be forgotten before it is known what came of it: while the record is
         // full of such, nothing more is hired.
-        let most = self.cfg.value_bytes - self.cfg.value_bytes / 8;
+        let most = self.limits.value_bytes() / 8 * 7;
         let mut size = encode(&record).map_or(usize::MAX, |r| r.get().len());
         'all: for (offer, mut count) in hires {
             while count > 0 {
@@ -414,7 +412,7 @@
         });
         let value = encode(&new);
         let size = value.as_ref().map_or(0, |v| v.get().len());
-        if same || size > self.cfg.value_bytes {
+        if same || size > self.limits.value_bytes() {
             return;
         }
         let txn = Txn {
@@ -634,7 +632,7 @@
             return;
         }
         let mut record = self.view.fleet.value.clone();
-        let most = self.cfg.value_bytes / 2 / 8;
+        let most = self.limits.value_bytes() / 2 / 8;
         for (m, age) in machines {
             if record.releasing.len() < most {
                 tracing::info!(machine = %m, %age, "never came up, returning");
@@ -659,7 +657,7 @@
     fn pressed(&self, job: JobId) -> bool {
         self.view.jobs.get(&job).is_some_and(|j| {
             let latest = self.latest_start(j);
-            !j.record.cancelled
+            !j.cancelled()
                 && !self.rounds.is_suspect(job)
                 && latest >= self.now.day
                 && latest < self.now.day + self.cfg.lease
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,7 +6,9 @@
 mod budget;
 mod draft;
 mod fleet;
+mod limits;
 mod ownership;
+mod pipelines;
 mod reach;
 mod reader;
 mod rounds;
@@ -15,7 +17,7 @@
 
 use crate::bookkeeping::catalog::Catalog;
 use crate::bookkeeping::ids::{JobId, MachineId, Slice};
-use crate::bookkeeping::records::{FleetRecord, HireRecord, Incarnation};
+use crate::bookkeeping::records::{FleetRecord, HireRecord, Incarnation, LAYOUT};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Touched, View};
 use crate::protocol::cloud::{CloudReply, CloudRequest};
@@ -103,7 +105,8 @@
     Claim(Vec<Slice>),
     Submit(Vec<users::Waiting>),
     Abort(users::Waiting),
-    Final(users::Waiting),
+    Final(users::Waiting, JobId),
+    Forerunner(JobId),
     Round(Box<rounds::InFlight>),
     Types(Catalog),
     Fleet(Box<(FleetRecord, Vec<HireRecord>)>),
@@ -115,6 +118,8 @@
 struct Call {
     purpose: Purpose,
     sent: Micros,
+    /// Of a transaction: its changes, and bytes of the largest value.
+    size: Option<(usize, usize)>,
 }
 
 /// How a controller counts what it does, for its log.
@@ -163,6 +168,9 @@
     wake: Micros,
     next_call: u64,
     calls: HashMap<CallId, Call>,
+    /// The latest layout of the records that it understands.
+    layout: u32,
+    limits: limits::InForce,
     budget: Budget,
     view: View,
     reader: reader::Reader,
@@ -175,6 +183,7 @@
     reach: reach::Reach,
     rounds: rounds::Rounds,
     users: users::Users,
+    look_ups: pipelines::LookUps,
     fleet: fleet::Fleet,
     peers: HashMap<String, (Micros, PeerHint)>,
     next_sweep: Micros,
@@ -194,7 +203,9 @@
             wake: Micros::ZERO,
             next_call: 1,
             calls: HashMap::new(),
-            budget: Budget::new(cfg.state_rps / share, cfg.state_write_rps / share),
+            layout: LAYOUT,
+            limits: limits::InForce::new(&cfg),
+            budget: Budget::new(cfg.state_rps / share, cfg.limits.write_rps / share),
             view: View::default(),
             reader: reader::Reader::default(),
             ownership: ownership::Ownership::default(),
@@ -204,6 +215,7 @@
             reach: reach::Reach::default(),
             rounds: rounds::Rounds::default(),
             users: users::Users::default(),
+            look_ups: pipelines::LookUps::default(),
             fleet: fleet::Fleet::default(),
             peers: HashMap::new(),
             next_sweep: Micros::ZERO,
@@ -215,9 +227,15 @@
         }
     }
 
+    /// The same controller, as it would be if it understood layouts of the records up to this one only.
+    pub fn understanding(self, layout: u32) -> Controller {
+        Controller { layout, ..self }
+    }
+
     /// Takes an event and returns what is to be done about it.
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Effect> {
         self.now = Now { steady: now.steady.max(self.now.steady), day: now.day };
+        self.view.today = now.day;
         match event {
             Event::Tick => {}
             Event::User(call, request) => self.on_user(call, request),
@@ -290,6 +308,7 @@
         }
         self.wake_at(self.next_sweep);
         self.pump_ownership();
+        self.pump_pipelines();
         self.pump_users();
         self.pump_fleet();
         self.pump_rounds();
@@ -370,7 +389,7 @@
         let id = CallId(self.next_call);
         self.next_call += 1;
         let sent = self.now.steady;
-        self.calls.insert(id, Call { purpose, sent });
+        self.calls.insert(id, Call { purpose, sent, size: None });
         id
     }
 
@@ -381,6 +400,9 @@
             _ => Micros::millis(1_500),
         };
         let id = self.call(purpose);
+        if let (StateRequest::Txn(txn), Some(call)) = (&request, self.calls.get_mut(&id)) {
+            call.size = Some((txn.then.len(), txn.largest()));
+        }
         self.out.push(Effect::State(id, request, limit));
         id
     }
@@ -393,9 +415,23 @@
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
-        if result.as_ref().is_err_and(|e| *e == CallError::TooMany) {
-            self.counters.refused += 1;
-            self.budget.refused(self.now.steady);
+        match &result {
+            Err(CallError::TooMany) => {
+                self.counters.refused += 1;
+                self.budget.refused(self.now.steady);
+                if self.limits.throttled(self.now.steady) {
+                    self.on_limits_fallen("it refuses for the rate");
+                }
+            }
+            Err(CallError::Refused) => {
+                let (changes, largest) = call.size.unwrap_or_default();
+                if self.limits.refused(changes, largest) {
+                    self.on_limits_fallen("it refused a transaction");
+                } else {
+                    tracing::info!(purpose = ?call.purpose, changes, largest, "refused as wrong");
+                }
+            }
+            _ => {}
         }
         match call.purpose {
             Purpose::Watch => self.on_changes(id, call.sent, true, result),
@@ -408,7 +444,8 @@
             Purpose::Claim(slices) => self.on_claimed(&slices, result),
             Purpose::Submit(batch) => self.on_submitted(batch, result),
             Purpose::Abort(w) => self.on_aborted(w, result),
-            Purpose::Final(w) => self.on_final(w, result),
+            Purpose::Final(w, of) => self.on_final(w, of, result),
+            Purpose::Forerunner(id) => self.on_forerunner(id, result),
             Purpose::Round(round) => self.on_round(*round, result),
             Purpose::Types(types) => self.on_types_written(types, result),
             Purpose::Fleet(record) => self.on_fleet_written(*record, result),
@@ -416,13 +453,23 @@
         }
     }
 
+    /// The state service's next limits hold from now on, for all that this process does.
+    fn on_limits_fallen(&mut self, why: &'static str) {
+        let (ops, bytes, rate) = (self.limits.txn_ops(), self.limits.taken_bytes(), self.limits.write_rps());
+        tracing::info!(why, ops, bytes, rate, "the state service has lowered its limits");
+        self.budget.set_writes(rate / self.cfg.controllers() as f64);
+        self.rounds.look();
+    }
+
     /// Acts on what changes brought.
     fn on_touched_view(&mut self, touched: &Touched) {
         for k in &touched.own {
             self.on_own_changed(*k);
         }
+        self.note_layout();
         if touched.nodes {
             self.ownership.look();
+            self.note_versions();
         }
         for m in &touched.machines {
             self.on_machine_changed(*m);
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -2,7 +2,7 @@
 
 use super::{Controller, Purpose};
 use crate::bookkeeping::ids::Slice;
-use crate::bookkeeping::records::{Key, LAYOUT, MetaRecord, NodeRecord, OwnRecord};
+use crate::bookkeeping::records::{FIRST_LAYOUT, Key, MetaRecord, NodeRecord, OwnRecord};
 use crate::bookkeeping::time::Micros;
 use crate::protocol::settings::Team;
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
@@ -37,6 +37,13 @@
     meta_at: Micros,
     ready_since: Option<Micros>,
     raise: Vec<Slice>,
+    /// The layout that each controller was last seen to understand, alive or not: one that has a new
+    /// version comes back with it.
+    understood: BTreeMap<String, u32>,
+    /// Controllers whose new version was last said to be waited for.
+    waited_for: Vec<String>,
+    /// The layout of the records when the copy was last looked at.
+    layout: u32,
 }
 
 impl Ownership {
@@ -71,7 +78,7 @@
         Micros::millis(self.op.node_lease_ms)
     }
 
-    fn me(&self) -> OwnRecord {
+    pub(super) fn me(&self) -> OwnRecord {
         OwnRecord { node: self.cfg.node.clone(), run: self.run }
     }
 
@@ -86,6 +93,7 @@
             self.pump_meta();
             return;
         }
+        self.pump_layout();
         self.pump_teams();
         self.pump_node();
         if now >= self.ownership.next_claim && !self.ownership.claiming {
@@ -162,7 +170,7 @@
             when: vec![(Key::Meta, 0)],
             then: vec![Put {
                 key: Key::Meta,
-                value: encode(&MetaRecord { layout: LAYOUT, slices, teams }),
+                value: encode(&MetaRecord { layout: FIRST_LAYOUT, slices, teams }),
                 permit: None,
             }],
         };
@@ -170,6 +178,54 @@
         self.ask_state(Purpose::Meta, StateRequest::Txn(txn));
     }
 
+    /// Acts on it if the layout of the records has changed.
+    pub(super) fn note_layout(&mut self) {
+        let layout = self.view.layout();
+        if std::mem::replace(&mut self.ownership.layout, layout) != layout {
+            tracing::info!(layout, "the layout of the records");
+            self.find_large();
+        }
+    }
+
+    /// Notes which layouts the live controllers understand.
+    pub(super) fn note_versions(&mut self) {
+        for (name, node) in &self.view.nodes {
+            self.ownership.understood.insert(name.clone(), node.value.layout.unwrap_or(FIRST_LAYOUT));
+        }
+    }
+
+    /// Raises the layout of the records, once every controller of the deploy file is known to understand
+    /// the new one. That is done once, by whoever is first, and never taken back.
+    fn pump_layout(&mut self) {
+        let now = self.now.steady;
+        let Some(meta) = &self.view.meta.value else { return };
+        if meta.layout >= self.layout || now < self.ownership.meta_at {
+            return;
+        }
+        let all = self.cfg.others.iter().map(|o| &o.node).chain([&self.cfg.node]);
+        let old = |n: &&String| self.ownership.understood.get(*n).is_none_or(|l| *l < self.layout);
+        let waiting: Vec<String> = all.filter(old).cloned().collect();
+        if !waiting.is_empty() {
+            if waiting != self.ownership.waited_for {
+                tracing::info!(controllers = ?waiting, "waiting for the new version of these before new records are written");
+                self.ownership.waited_for = waiting;
+            }
+            return;
+        }
+        self.ownership.meta_at = now + Micros::millis(500);
+        tracing::info!(layout = self.layout, "all controllers have the new version: raising the layout of the records");
+        let record = MetaRecord { layout: self.layout, ..meta.clone() };
+        // A controller that comes back in this moment would be missed: then this fails, and is tried again.
+        let nodes = self.view.nodes.iter().map(|(n, s)| (Key::Node(n.clone()), s.stamp));
+        let when = [(Key::Meta, self.view.meta.stamp)].into_iter().chain(nodes);
+        let txn = Txn {
+            when: when.take(self.limits.txn_ops() * 4).collect(),
+            then: vec![Put { key: Key::Meta, value: encode(&record), permit: None }],
+        };
+        self.budget.force(now, 1);
+        self.ask_state(Purpose::Meta, StateRequest::Txn(txn));
+    }
+
     /// Whether a team of the deploy file has a guarantee or a limit, but no slice of its own yet: a later
     /// file added it. Its jobs are spread over all slices, so nobody could keep its limit.
     pub(super) fn unplaced(&self, team: &Team) -> bool {
@@ -206,7 +262,7 @@
         }
         self.ownership.meta_at = now + Micros::millis(500);
         let value = encode(&record);
-        if value.as_ref().is_none_or(|v| v.get().len() > self.cfg.value_bytes) {
+        if value.as_ref().is_none_or(|v| v.get().len() > self.limits.value_bytes()) {
             return;
         }
         tracing::info!(teams = ?record.teams, "teams of a later deploy file get slices");
@@ -239,7 +295,11 @@
             self.wake_at(self.ownership.next_node);
             return;
         }
-        let value = if gone { None } else { encode(&NodeRecord { run: self.run }) };
+        let value = if gone {
+            None
+        } else {
+            encode(&NodeRecord { run: self.run, layout: (self.layout > FIRST_LAYOUT).then_some(self.layout) })
+        };
         let permit = (!gone).then_some(lease);
         let txn = Txn { when: vec![(key.clone(), stamp)], then: vec![Put { key, value, permit }] };
         self.ownership.writing = true;
@@ -271,7 +331,7 @@
             return;
         }
         let (mut wanted, why) = self.wanted_slices();
-        wanted.truncate(self.cfg.txn_ops);
+        wanted.truncate(self.limits.txn_ops());
         if wanted.is_empty() {
             return;
         }
@@ -387,6 +447,7 @@
             self.ownership.tenures[k] = Some(Tenure { first: stamp, since: self.now.steady });
             self.begin_sessions(k);
             self.rounds.look();
+            self.find_large();
         } else if mine && held {
             // Every claim of this process since the tenure began was conditional on its own
             // record, so nobody else can have owned the slice in between.
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -1,7 +1,6 @@
 //! The watch that keeps the private copy, and read barriers.
 
 use super::{CallId, Controller, Purpose};
-use crate::bookkeeping::records::LAYOUT;
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Touched};
 use crate::protocol::state::{CallError, StateReply, StateRequest};
@@ -150,7 +149,7 @@
         };
         let mut touched = Touched::default();
         self.view.apply(items, &mut touched);
-        if self.view.foreign() {
+        if self.view.foreign(self.layout) {
             return self.refuse_layout();
         }
         let first = first.unwrap_or(epoch);
@@ -174,7 +173,7 @@
             let found = self.view.meta.value.as_ref().map_or(0, |m| m.layout);
             tracing::error!(
                 found,
-                wanted = LAYOUT,
+                understood = self.layout,
                 "the state service holds records of another layout, not in service"
             );
         }
@@ -217,15 +216,17 @@
         let mut touched = Touched::default();
         self.view.apply(changes, &mut touched);
         self.view.advance(epoch);
+        if self.view.foreign(self.layout) {
+            // Also when others raise it beyond this version while it runs.
+            self.lose_all_tenures();
+            return self.refuse_layout();
+        }
         self.reader.contact = self.reader.contact.max(sent);
         self.reader.read = self.reader.read.max(id.0);
         if self.reader.phase == Phase::Listed {
             if epoch < self.reader.whole_at {
                 return;
             }
-            if self.view.foreign() {
-                return self.refuse_layout();
-            }
             self.reader.phase = Phase::Ready;
             tracing::info!(
                 epoch,
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -1,6 +1,7 @@
 //! Rounds: what was proven and what was planned goes into one transaction at a time, on the
 //! revisions of the records that it changes.
 
+use super::draft::shrink::too_large;
 use super::draft::{Commit, Draft, Limits};
 use super::sessions::{Mark, Outcome};
 use super::{Controller, Purpose};
@@ -8,8 +9,9 @@
 use crate::bookkeeping::fleet::{core_price, price_limit};
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice, TaskId};
 use crate::bookkeeping::job::{FinalRecord, JobSpec, Urgency};
+use crate::bookkeeping::pipeline::expected_run;
 use crate::bookkeeping::placement::{Ask, Claim, Groups, Running, Slot, plan, preempt};
-use crate::bookkeeping::records::{Fitness, GroupRecord, Key, MachineRecord};
+use crate::bookkeeping::records::{Fitness, GroupRecord, Key, MachineRecord, TERSE};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Job, Touched};
 use crate::protocol::settings::ObjectiveKind;
@@ -71,6 +73,10 @@
     /// No planning before a read that began after this call.
     hold_call: Option<u64>,
     suspects: BTreeMap<JobId, Suspicion>,
+    /// Own records that were written under larger limits than those to come, and are to be brought down.
+    large: BTreeSet<Key>,
+    /// The last round brought one of them down.
+    shrank: bool,
 }
 
 impl Rounds {
@@ -240,11 +246,13 @@
                 return;
             }
         };
-        let ops = self.cfg.txn_ops;
+        let ops = self.limits.txn_ops();
         let limits = Limits {
             ops,
-            conditions: self.cfg.txn_ops * 4,
-            value_bytes: self.cfg.value_bytes,
+            conditions: ops * 4,
+            value_bytes: self.limits.value_bytes(),
+            taken_bytes: self.limits.taken_bytes(),
+            large_grow: self.view.layout() < TERSE,
             part_bytes: self.part_bytes(),
         };
         self.rounds.next = now + Micros::millis(self.op.round_ms);
@@ -281,7 +289,7 @@
     /// Whether a job is this controller's, and must start at once.
     fn urgent(&self, id: JobId, job: &Job) -> bool {
         self.starts_at_once(job.spec())
-            && !job.record.cancelled
+            && job.ready()
             && self.owns(self.view.job_slice(id, job.spec()))
             && !self.rounds.is_suspect(id)
             && !self.unplaced_job(job)
@@ -293,8 +301,9 @@
     fn part_bytes(&self) -> usize {
         /// Bytes of records that a whole core takes in a second, and the part of it to spend.
         const READ_RATE: f64 = 100e6 * 0.05;
-        let affordable = self.cfg.core_share * READ_RATE / self.cfg.state_write_rps;
-        (affordable as usize).max(4_096).min(self.cfg.value_bytes - self.cfg.value_bytes / 16)
+        let affordable = self.cfg.core_share * READ_RATE / self.limits.write_rps();
+        let most = self.limits.value_bytes();
+        (affordable as usize).max(4_096).min(most - most / 16)
     }
 
     /// Bytes that a machine's record takes when the machine is full of the smallest tasks there are.
@@ -331,6 +340,13 @@
         if lean_only {
             return None;
         }
+        // Every other round, too: nothing is booked on what is too large, but elsewhere work goes on.
+        if !std::mem::take(&mut self.rounds.shrank)
+            && let Some(drafted) = self.shrink_round(limits)
+        {
+            self.rounds.shrank = true;
+            return Some(drafted);
+        }
         let view = &self.view;
         let mut draft = Draft::new(view, limits);
         let mut cleared = 0;
@@ -354,8 +370,7 @@
             draft.mark(*m, *mark, view.machine_slice(*m));
         }
         if !self.rounds.adds.is_empty() {
-            let types = view.types.value.iter().flat_map(|c| &c.types);
-            let full: BTreeMap<&str, usize> = types.map(|t| (t.name.as_str(), self.full_bytes(&t.name))).collect();
+            let full = self.full_sizes();
             for m in &self.rounds.adds {
                 if let Some(s) = self.sessions.get(m) {
                     let full = |build: &str| full.get(build).copied().unwrap_or(0);
@@ -371,12 +386,17 @@
             .jobs
             .iter()
             .filter(|(id, j)| {
-                j.record.cancelled && view.booked(**id).is_none() && self.owns(view.job_slice(**id, j.spec()))
+                let over = j.cancelled() || j.done() >= j.spec().pieces;
+                over && view.booked(**id).is_none() && self.owns(view.job_slice(**id, j.spec()))
             })
             .map(|(id, _)| *id)
             .collect();
         for id in ended {
-            draft.end_cancelled(id);
+            if view.jobs.get(&id).is_some_and(Job::cancelled) {
+                draft.end_cancelled(id);
+            } else {
+                draft.end_done(id);
+            }
         }
         for (id, _) in view
             .jobs
@@ -389,6 +409,51 @@
         (!draft.is_empty()).then(|| Drafted { commit: draft.commit(), booked, cleared })
     }
 
+    /// Bytes that machines take when they are full, by type.
+    fn full_sizes(&self) -> BTreeMap<String, usize> {
+        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        types.map(|t| (t.name.clone(), self.full_bytes(&t.name))).collect()
+    }
+
+    /// Looks for own records that are larger than they will be allowed to be. Once all controllers have
+    /// this version none is written any more, so that is done when that is so, and after takeovers.
+    pub(super) fn find_large(&mut self) {
+        if self.view.layout() < TERSE {
+            return;
+        }
+        let most = self.limits.value_bytes();
+        for k in 0..self.view.own.len() {
+            if !self.owns(k) {
+                continue;
+            }
+            let groups = self.view.groups[k].keys().map(|n| Key::Group(k, *n));
+            let large = groups.chain([Key::Usage(k)]).filter(|key| too_large(&self.view, key, most));
+            self.rounds.large.extend(large);
+        }
+        if !self.rounds.large.is_empty() {
+            tracing::info!(records = ?self.rounds.large, most, "records to be brought down to the size to come");
+            self.rounds.look();
+        }
+    }
+
+    /// A step that brings down a record that is too large, the largest kind first.
+    fn shrink_round(&mut self, limits: Limits) -> Option<Drafted> {
+        let view = &self.view;
+        let owned = |key: &Key| matches!(key, Key::Group(k, _) | Key::Usage(k) if self.ownership.tenure(*k).is_some());
+        self.rounds.large.retain(|key| owned(key) && too_large(view, key, limits.value_bytes));
+        let full = self.full_sizes();
+        let full = |build: &str| full.get(build).copied().unwrap_or(0);
+        let me = self.me();
+        for key in &self.rounds.large {
+            let mut draft = Draft::new(&self.view, limits);
+            if draft.shrink(key, &me, &full) {
+                tracing::info!(record = %key, "bringing down to the size to come");
+                return Some(Drafted { commit: draft.commit(), booked: Vec::new(), cleared: 0 });
+            }
+        }
+        None
+    }
+
     /// A round for what must start at once, and for the ends that go along with its records. The
     /// fewer records a round writes the less it clashes, and the sooner there may be another. None
     /// if there is nothing of the kind, or if it needs the room that ends give back.
@@ -566,6 +631,7 @@
             asks.push(Ask {
                 job: id,
                 spec,
+                urgency: job.urgency(),
                 tasks,
                 zones: if spec.one_zone || spec.apart { self.zones_of(id) } else { BTreeMap::new() },
                 most,
@@ -597,7 +663,7 @@
                     let used = self.view.usage[k].value.of(&job.spec().crew);
                     used.0 > t.guarantee.0 + job.spec().need.cores
                 });
-                Some(Running { booking: *b, need: job.spec().need, urgency: job.spec().urgency, borrowed })
+                Some(Running { booking: *b, need: job.spec().need, urgency: job.urgency(), borrowed })
             })
             .collect();
         // The more urgent are never reached; of the rest the latest have the least to lose.
@@ -642,14 +708,14 @@
     fn jobs_in_order(&self) -> Vec<(JobId, &Job)> {
         let mut jobs: Vec<(Precedence, JobId, &Job)> = Vec::new();
         for (id, job) in &self.view.jobs {
-            let none = job.record.cancelled || self.view.pending_count(*id, job) == 0;
+            let none = !job.ready() || self.view.pending_count(*id, job) == 0;
             if none || self.backing_off(*id) || self.unplaced_job(job) {
                 continue;
             }
             let spec = job.spec();
             let borrows = self.borrows(job, self.view.job_slice(*id, spec));
             let suspect = self.rounds.is_suspect(*id);
-            let key = (suspect, borrows, spec.urgency, self.latest_start(job), job.record.submitted);
+            let key = (suspect, borrows, job.urgency(), self.latest_start(job), job.record.submitted);
             jobs.push((key, *id, job));
         }
         jobs.sort_by(|a, b| (&a.0, a.1).cmp(&(&b.0, b.1)));
@@ -660,10 +726,15 @@
     /// often wrong, of many tasks some run longer, and the image may have to be fetched.
     pub(super) fn latest_start(&self, job: &Job) -> Micros {
         let spec = job.spec();
-        let due = spec.due.unwrap_or_else(|| self.finish_aim(spec));
+        // Deadlines count from the submission, everything else from when the job could begin.
+        let ready = job.record.submitted.max(job.stage.ready_at);
+        let due = spec.due.map_or_else(|| ready + self.finish_aim(spec), |d| job.record.submitted + d);
+        let due = job.stage.wanted_by.map_or(due, |by| by.min(due));
         let types = self.view.types.value.iter().flat_map(|c| &c.types);
         let fetch = types.filter(|t| spec.need.fits(&t.room)).map(|t| t.fetch_time(spec.size)).min();
-        (job.record.submitted + due) - (spec.guess + Micros(spec.guess.0 / 4) + fetch.unwrap_or_default())
+        let start = due - (expected_run(spec) + fetch.unwrap_or_default());
+        let aim = self.start_aim(spec).filter(|aim| *aim >= self.shortest_boot());
+        aim.map_or(start, |aim| start.min(ready + aim))
     }
 
     /// Most that a core may cost for a job: what is dear is for those that would be late, or have
@@ -698,7 +769,22 @@
 
     /// Whether the objectives want tasks of this class started at once.
     fn starts_at_once(&self, spec: &JobSpec) -> bool {
-        self.objectives(spec).any(|o| matches!(o, ObjectiveKind::Wait(_)))
+        self.start_aim(spec).is_some_and(|aim| aim < self.shortest_boot())
+    }
+
+    /// Within what time the objectives want tasks of this class started.
+    fn start_aim(&self, spec: &JobSpec) -> Option<Micros> {
+        let aims = self.objectives(spec).filter_map(|o| match o {
+            ObjectiveKind::Wait(t) => Some(t),
+            _ => None,
+        });
+        aims.min()
+    }
+
+    /// The least time that a machine takes to come up: what may start later than that has time.
+    fn shortest_boot(&self) -> Micros {
+        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        types.map(|t| t.boot).min().unwrap_or(Micros::FOREVER)
     }
 
     fn objectives<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = ObjectiveKind> + 'a {
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -331,7 +331,7 @@
                 }
                 (true, state) => {
                     let job = self.view.jobs.get(&a.task.job);
-                    if job.is_none_or(|j| j.record.cancelled) {
+                    if job.is_none_or(Job::cancelled) {
                         orders.push(Order::Stop(*a, Micros::ZERO));
                     } else if preempted.contains(&Booking::of(*a)) {
                         orders.push(Order::Stop(*a, leeway(job)));
@@ -367,7 +367,7 @@
                 continue;
             }
             let job = self.view.jobs.get(&a.task.job);
-            let unwanted = job.is_none_or(|j| j.record.cancelled)
+            let unwanted = job.is_none_or(Job::cancelled)
                 || fitness != Fitness::Up
                 || s.recall_at.is_some()
                 || preempted.contains(b);
@@ -427,7 +427,7 @@
                 return;
             }
             Some(j) => {
-                let (errors, cancelled) = (j.record.errors, j.record.cancelled);
+                let (errors, cancelled) = (j.record.errors, j.cancelled());
                 if j.suspect() {
                     if self.rounds.suspect(job, errors, self.now.steady) {
                         tracing::info!(%job, errors, "suspect: its tasks fail on several machines and none is completed");
@@ -484,7 +484,7 @@
             for b in &record.tasks {
                 let a = b.attempt();
                 let job = self.view.jobs.get(&a.task.job);
-                let cancelled = job.is_none_or(|j| j.record.cancelled);
+                let cancelled = job.is_none_or(Job::cancelled);
                 let seen = s.sees(&a);
                 let preempted = record.preempted.contains(b);
                 if (cancelled || preempted) && seen.is_some_and(|t| !matches!(t, TaskState::Exited(_))) {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -6,7 +6,7 @@
 use super::{CallId, Controller, Effect, Purpose};
 use crate::bookkeeping::ids::JobId;
 use crate::bookkeeping::job::{FinalRecord, JobRecord, JobSpec};
-use crate::bookkeeping::records::Key;
+use crate::bookkeeping::records::{Key, TERSE};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Content, Touched};
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
@@ -49,7 +49,8 @@
     submits: Vec<Waiting>,
     aborts: Vec<Waiting>,
     reads: Vec<Waiting>,
-    finals: VecDeque<Waiting>,
+    /// Final records to be read: for whom, and of which job.
+    finals: VecDeque<(Waiting, JobId)>,
     ended: HashMap<JobId, FinalRecord>,
     ended_order: VecDeque<JobId>,
     /// Jobs that were found to be neither live nor ended, and have not come up in the copy since.
@@ -86,6 +87,11 @@
         }
     }
 
+    /// How a job ended, if that is remembered.
+    pub fn end_of(&self, id: JobId) -> Option<FinalRecord> {
+        self.ended.get(&id).copied()
+    }
+
     /// A job is neither live nor ended. That stays so until the copy shows it: a job ends after it was
     /// live, and the copy misses no change.
     fn remember_absent(&mut self, id: JobId) {
@@ -155,10 +161,14 @@
         self.out.push(Effect::User(w.call, answer));
     }
 
+    /// What a live job's user is told; nothing while it may be cancelled because of a job before it.
     fn live_answer(&self, id: JobId) -> Option<JobAnswer> {
         let job = self.view.jobs.get(&id)?;
         let running = self.view.booked(id).map_or(0, |b| b.len() as u32);
-        let status = match (job.record.cancelled, running) {
+        if job.stage.doubtful {
+            return None;
+        }
+        let status = match (job.cancelled(), running) {
             (true, _) => JobStatus::Cancelled,
             (false, 0) => JobStatus::Queued,
             _ => JobStatus::Running,
@@ -213,13 +223,18 @@
                     return self.answer(&w, Self::LATER);
                 } else if let Some(why) = self.never(spec) {
                     w.wish = Wish::Refuse(UserAnswer::Never(why));
-                } else {
+                } else if spec.awaits.is_empty() {
                     self.users.submits.push(w);
                     return;
+                } else if !self.takes_pipelines() {
+                    // The others would start it too early.
+                    return self.answer(&w, Self::LATER);
+                } else {
+                    return self.consider(w, false);
                 }
             }
             Wish::Abort => match live {
-                Some(j) if j.record.cancelled => {
+                Some(j) if j.cancelled() => {
                     if let Some(a) = self.live_answer(id) {
                         self.answer(&w, UserAnswer::Is(a));
                     }
@@ -236,6 +251,34 @@
         self.await_read(w);
     }
 
+    /// Decides on the submission of a job that awaits others: each of them must have been accepted, and be
+    /// none that runs until it is cancelled. Whoever is live or has ended was; a job goes from the one to
+    /// the other and never back, so to look in this order after a read misses none.
+    fn consider(&mut self, mut w: Waiting, read: bool) {
+        let Wish::Submit(spec) = &w.wish else { return };
+        let mut missing = None;
+        let mut refuse = None;
+        for name in &spec.awaits {
+            match self.view.jobs.get(name) {
+                _ if *name == w.id => refuse = Some("it awaits itself"),
+                Some(j) if j.spec().standing => refuse = Some("it awaits a job that does not end by itself"),
+                Some(_) => {}
+                None if self.users.ended.contains_key(name) => {}
+                None if read && self.users.absent.contains(name) => refuse = Some("it awaits an unknown job"),
+                None => missing = Some(*name),
+            }
+        }
+        match (refuse, missing) {
+            (Some(why), _) => {
+                w.wish = Wish::Refuse(UserAnswer::Never(why));
+                self.await_read(w);
+            }
+            (None, None) => self.users.submits.push(w),
+            (None, Some(_)) if !read => self.await_read(w),
+            (None, Some(name)) => self.users.finals.push_back((w, name)),
+        }
+    }
+
     fn await_read(&mut self, mut w: Waiting) {
         w.after = self.next_call - 1;
         // What changes something goes before what only asks.
@@ -258,7 +301,7 @@
             self.send_abort(w);
         }
         while !self.users.submits.is_empty() {
-            let n = self.users.submits.len().min(self.cfg.txn_ops);
+            let n = self.users.submits.len().min(self.limits.txn_ops());
             if let Err(at) = self.budget.spend(now, n.min(4), Self::USERS) {
                 self.wake_at(at);
                 return;
@@ -279,15 +322,14 @@
             }
             self.send_submits(batch);
         }
-        while let Some(w) = self.users.finals.pop_front() {
+        while let Some((w, of)) = self.users.finals.pop_front() {
             let reserve = if w.only_asks() { Self::POLLS } else { 0.0 };
             if let Err(at) = self.budget.spend(now, 0, reserve) {
-                self.users.finals.push_front(w);
+                self.users.finals.push_front((w, of));
                 self.wake_at(at);
                 return;
             }
-            let key = Key::Final(w.id);
-            self.ask_state(Purpose::Final(w), StateRequest::Get(key));
+            self.ask_state(Purpose::Final(w, of), StateRequest::Get(Key::Final(of)));
         }
     }
 
@@ -316,10 +358,11 @@
             let Wish::Submit(spec) = &w.wish else {
                 continue;
             };
-            let value = encode(&self.new_record(spec, w.day));
+            let value = encode(&self.new_record(spec, w.day).terse(self.view.layout() >= TERSE));
             // Room for a full bitmap and the machines to avoid must be left.
             let size = value.as_ref().map_or(0, |v| v.get().len());
-            if size + 1_600.min(spec.pieces as usize / 4 + 200) > self.cfg.value_bytes {
+            let spare = 1_600.min(spec.pieces as usize / 4 + 200);
+            if size + spare > self.limits.value_bytes() {
                 self.answer(&w, UserAnswer::Bad("too large"));
                 continue;
             }
@@ -355,13 +398,16 @@
                     if let Wish::Submit(spec) = &w.wish {
                         tracing::info!(job = %w.id, lane = spec.lane, crew = spec.crew, pieces = spec.pieces, cores = spec.need.cores as f64 / 1e3, "accepted");
                     }
-                    // The watch may have brought its cancellation, or its end, before this answer.
-                    if self.view.jobs.get(&w.id).is_none_or(|j| j.record.cancelled) {
-                        self.await_read(w);
-                        continue;
+                    // The watch may have brought its cancellation, or its end, before this answer; and of a
+                    // job that awaits others it may not be known yet whether one of these is cancelled.
+                    match self.view.jobs.get(&w.id) {
+                        Some(j) if !j.record.cancelled && !j.stage.doubtful => {
+                            let status = if j.cancelled() { JobStatus::Cancelled } else { JobStatus::Queued };
+                            let answer = JobAnswer { id: w.id, status, done: 0, running: 0 };
+                            self.answer(&w, UserAnswer::Accepted(answer));
+                        }
+                        _ => self.await_read(w),
                     }
-                    let answer = JobAnswer { id: w.id, status: JobStatus::Queued, done: 0, running: 0 };
-                    self.answer(&w, UserAnswer::Accepted(answer));
                 }
                 self.on_touched_view(&touched);
             }
@@ -388,8 +434,7 @@
         let Some(job) = self.view.jobs.get(&w.id) else {
             return self.await_read(w);
         };
-        let mut record = job.record.clone();
-        record.cancelled = true;
+        let record = JobRecord { cancelled: true, ..job.record.clone().terse(self.view.layout() >= TERSE) };
         let txn = Txn {
             when: vec![(Key::Job(w.id), job.stamp)],
             then: vec![Put { key: Key::Job(w.id), value: encode(&record), permit: None }],
@@ -403,8 +448,7 @@
                 tracing::info!(job = %w.id, "cancelled by its user");
                 let mut answer = JobAnswer { id: w.id, status: JobStatus::Cancelled, done: 0, running: 0 };
                 if let Some(job) = self.view.jobs.get(&w.id) {
-                    let mut record = job.record.clone();
-                    record.cancelled = true;
+                    let record = JobRecord { cancelled: true, ..job.record.clone() };
                     answer.done = job.done();
                     let change =
                         Change { key: Key::Job(w.id), content: Some(Content::Job(Box::new(record))), stamp: epoch };
@@ -440,7 +484,11 @@
         }
         self.users.reads = still;
         for w in ready {
+            let live = self.view.jobs.contains_key(&w.id);
             match (self.live_answer(w.id), &w.wish) {
+                // How a job before it ended is being looked up; it may be cancelled whatever that is.
+                (None, Wish::Abort) if live => self.users.aborts.push(w),
+                (None, _) if live => self.await_read(w),
                 (Some(a), Wish::Abort) if a.status != JobStatus::Cancelled => self.users.aborts.push(w),
                 (Some(a), _) => self.answer(&w, UserAnswer::Is(a)),
                 (None, _) => match self.users.ended.get(&w.id) {
@@ -448,20 +496,25 @@
                         let a = final_answer(w.id, *f);
                         self.answer(&w, UserAnswer::Is(a));
                     }
+                    None if matches!(&w.wish, Wish::Submit(s) if !s.awaits.is_empty()) => self.consider(w, true),
                     None if self.users.absent.contains(&w.id) => self.decide_absent(w),
                     // Who asks about what nobody has submitted must not take the requests of others.
                     None if w.only_asks() && self.users.finals.len() >= self.most_finals() => {
                         self.answer(&w, Self::LATER);
                     }
-                    None => self.users.finals.push_back(w),
+                    None => self.users.finals.push_back((w.clone(), w.id)),
                 },
             }
         }
     }
 
-    pub(super) fn on_final(&mut self, w: Waiting, result: Result<StateReply, CallError>) {
+    pub(super) fn on_final(&mut self, w: Waiting, of: JobId, result: Result<StateReply, CallError>) {
         match result {
             Ok(StateReply::Value(Some(value))) => match serde_json::from_str::<FinalRecord>(value.get()) {
+                Ok(f) if of != w.id => {
+                    self.users.remember(of, f);
+                    self.consider(w, true);
+                }
                 Ok(f) => {
                     self.users.remember(w.id, f);
                     self.answer(&w, UserAnswer::Is(final_answer(w.id, f)));
@@ -469,10 +522,14 @@
                 Err(_) => self.answer(&w, Self::LATER),
             },
             Ok(StateReply::Value(None)) => {
-                if !self.view.jobs.contains_key(&w.id) {
-                    self.users.remember_absent(w.id);
+                if !self.view.jobs.contains_key(&of) {
+                    self.users.remember_absent(of);
+                }
+                if of == w.id {
+                    self.decide_absent(w);
+                } else {
+                    self.consider(w, true);
                 }
-                self.decide_absent(w);
             }
             _ => self.answer(&w, Self::LATER),
         }
@@ -509,8 +566,8 @@
         for queue in [&mut users.submits, &mut users.aborts, &mut users.reads] {
             late.extend(queue.extract_if(.., |w| now.since(w.since) > limit(w)));
         }
-        while users.finals.front().is_some_and(|w| now.since(w.since) > limit(w)) {
-            late.extend(users.finals.pop_front());
+        while users.finals.front().is_some_and(|(w, _)| now.since(w.since) > limit(w)) {
+            late.extend(users.finals.pop_front().map(|(w, _)| w));
         }
         for w in late {
             self.answer(&w, Self::LATER);
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -106,6 +106,15 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: u64,
+    next: Option<NextFile>,
+}
+
+/// Limits that the state service will have from some later moment. What is absent stays as it is.
+#[derive(Default, Deserialize)]
+struct NextFile {
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -179,6 +188,17 @@
     Other,
 }
 
+/// Limits of the state service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StateLimits {
+    /// Changes a second that it takes from all controllers together.
+    pub write_rps: f64,
+    /// Bytes of its largest value.
+    pub value_bytes: usize,
+    /// Changes in one transaction.
+    pub txn_ops: usize,
+}
+
 /// The deploy file, validated.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -208,12 +228,10 @@
     pub cancel: Micros,
     /// Requests a second that the state service takes from all controllers together.
     pub state_rps: f64,
-    /// Changes a second that it takes.
-    pub state_write_rps: f64,
-    /// Bytes of its largest value.
-    pub value_bytes: usize,
-    /// Changes in one transaction.
-    pub txn_ops: usize,
+    /// The limits that it has now.
+    pub limits: StateLimits,
+    /// Those that it will have from some later moment; the same if none are announced.
+    pub next_limits: StateLimits,
     /// Requests a second that the cloud takes.
     pub cloud_rps: f64,
     /// How far its lists lag.
@@ -253,6 +271,18 @@
     }
 }
 
+/// Checks the limits of the state service that stand in a part of the file.
+fn limits(part: &str, file: &StateFile) -> Result<StateLimits, SettingsError> {
+    let field = |name: &str| format!("{part}.{name}");
+    let write_rps = positive(&field("write_rps"), file.write_rps)?;
+    let value_kb = positive(&field("value_kb"), file.value_kb)?;
+    // The end of a task writes its group, its team's usage, its job and the job's end.
+    if file.txn_ops < 4 {
+        return invalid(field("txn_ops"), "must be at least 4");
+    }
+    Ok(StateLimits { write_rps, value_bytes: (value_kb * 1024.0) as usize, txn_ops: file.txn_ops as usize })
+}
+
 impl Settings {
     /// Reads and validates the file at `path`.
     pub fn load(path: &str) -> Result<Settings, SettingsError> {
@@ -287,8 +317,19 @@
             .into_iter()
             .map(|o| Ok(Other { node: name("others.node", o.node)?, back: address("others.peer_addr", &o.peer_addr)? }))
             .collect::<Result<_, SettingsError>>()?;
-        if p.state.txn_ops < 4 {
-            return invalid("params.state.txn_ops", "must be at least 4");
+        let limits = limits("params.state", &p.state)?;
+        let next = p.state.next.unwrap_or_default();
+        let next = StateFile {
+            rps: p.state.rps,
+            write_rps: next.write_rps.unwrap_or(p.state.write_rps),
+            value_kb: next.value_kb.unwrap_or(p.state.value_kb),
+            txn_ops: next.txn_ops.unwrap_or(p.state.txn_ops),
+            next: None,
+        };
+        let next_limits = self::limits("params.state.next", &next)?;
+        // A job's record has to fit, with the first chunk of its finished set.
+        if next_limits.value_bytes < limits.value_bytes.min(2 * 1024) {
+            return invalid("params.state.next.value_kb", "must be at least 2");
         }
         if p.quota.max_connections < 32 {
             return invalid("params.quota.max_connections", "must be at least 32");
@@ -310,9 +351,8 @@
             lease: seconds("params.workers.lease_s", p.workers.lease_s)?,
             cancel: seconds("params.workers.cancel_s", p.workers.cancel_s)?,
             state_rps: positive("params.state.rps", p.state.rps)?,
-            state_write_rps: positive("params.state.write_rps", p.state.write_rps)?,
-            value_bytes: (positive("params.state.value_kb", p.state.value_kb)? * 1024.0) as usize,
-            txn_ops: p.state.txn_ops as usize,
+            limits,
+            next_limits,
             cloud_rps: positive("params.cloud.rps", p.cloud.rps)?,
             list_lag: seconds("params.cloud.list_lag_s", p.cloud.list_lag_s)?,
             core_share: positive("params.quota.core_share", p.quota.core_share)?,
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -124,6 +124,13 @@
     permit: Option<u64>,
 }
 
+impl Txn {
+    /// Bytes of its largest value.
+    pub fn largest(&self) -> usize {
+        self.then.iter().filter_map(|p| p.value.as_ref()).map(|v| v.get().len()).max().unwrap_or(0)
+    }
+}
+
 /// Encodes a record for a [`Put`].
 pub fn encode<T: Serialize>(value: &T) -> Option<Box<RawValue>> {
     serde_json::value::to_raw_value(value).ok()
@@ -222,6 +229,12 @@
     epoch: u64,
 }
 
+#[derive(Default, Deserialize)]
+struct ErrorWire {
+    #[serde(default)]
+    error: String,
+}
+
 #[derive(Deserialize)]
 struct LeaseWire {
     permit: u64,
@@ -282,7 +295,11 @@
             let keys = w.failed.iter().filter_map(|k| Key::parse(k)).collect();
             Ok(StateReply::Clash(keys, w.epoch))
         }
-        (StateRequest::Txn(t), 400) if t.then.iter().any(|p| p.permit.is_some()) => Ok(StateReply::NoLease),
+        // Not every refusal of a write with a lease means that the lease is gone.
+        (StateRequest::Txn(t), 400) if t.then.iter().any(|p| p.permit.is_some()) => {
+            let w: ErrorWire = serde_json::from_slice(body).unwrap_or_default();
+            if w.error.contains("lease") { Ok(StateReply::NoLease) } else { Err(CallError::Refused) }
+        }
         (StateRequest::Grant(_), 200) => {
             let w: LeaseWire = serde_json::from_slice(body).map_err(bad)?;
             Ok(StateReply::Lease(w.permit))
--- a/src/protocol/user.rs
+++ b/src/protocol/user.rs
@@ -5,6 +5,7 @@
 use crate::bookkeeping::job::{JobSpec, Urgency};
 use crate::bookkeeping::time::Micros;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use thiserror::Error;
 
 /// Largest request body.
@@ -48,6 +49,7 @@
     bookmark_s: f64,
     stash_s: f64,
     due_s: Option<f64>,
+    awaits: Option<Vec<String>>,
 }
 
 /// Reads a submission strictly.
@@ -70,7 +72,10 @@
     if s.pieces == 0 || s.pieces > PIECES_LIMIT {
         return Err(BadSubmission::Field("pieces"));
     }
+    let awaits = s.awaits.unwrap_or_default().iter().map(|n| n.parse()).collect::<Result<BTreeSet<JobId>, _>>();
+    let awaits = awaits.map_err(|_| BadSubmission::Field("awaits"))?.into_iter().collect();
     let spec = JobSpec {
+        awaits,
         lane: text("lane", s.lane)?,
         crew: text("crew", s.crew)?,
         standing: match s.shape.as_str() {
@@ -196,7 +201,7 @@
     const GOOD: &str = r#"{"nameId":"req-000412","lane":"train","crew":"vision","shape":"sweep","urgency":"high",
         "pieces":16,"cores":8.0,"accelerators":1,"memGb":64.5,"bundle":"img-07","sizeGb":6.2,"builds":["g8"],
         "yard":null,"oneZone":true,"apart":false,"loaners":true,"guessS":240.0,"bookmarkS":30.0,"stashS":4.0,
-        "dueS":900.0,"later":1}"#;
+        "dueS":900.0,"awaits":["req-000411","req-000007","req-000411"],"later":1}"#;
 
     #[test]
     fn takes_what_is_right() {
@@ -206,6 +211,11 @@
         assert_eq!(spec.due, Some(Micros::secs(900)));
         let nulls = GOOD.replace("\"dueS\":900.0", "\"dueS\":null").replace("\"yard\":null,", "");
         assert_eq!(parse_submission(nulls.as_bytes()).unwrap().1.due, None);
+        assert_eq!(spec.awaits, [JobId(7), JobId(411)], "each once");
+        for none in ["null", "[]"] {
+            let text = GOOD.replace(r#"["req-000411","req-000007","req-000411"]"#, none);
+            assert_eq!(parse_submission(text.as_bytes()).unwrap().1.awaits, []);
+        }
     }
 
     #[test]
@@ -224,6 +234,9 @@
             ("\"oneZone\":true", "\"oneZone\":1"),
             ("\"dueS\":900.0", "\"dueS\":-1"),
             ("\"loaners\":true", "\"loaners\":null"),
+            ("\"req-000007\"", "7"),
+            ("\"req-000007\"", "\"req-7\""),
+            ("[\"req-000411\",\"req-000007\",\"req-000411\"]", "\"req-000411\""),
         ] {
             let bad = GOOD.replace(from, to);
             assert_ne!(bad, GOOD);
