--- a/src/bookkeeping/group.rs
+++ b/src/bookkeeping/group.rs
@@ -5,8 +5,13 @@
 //! and machines refer to them by number.
 
 use super::ids::{Attempt, JobId, MachineId, TaskId};
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use serde::de::value::MapAccessDeserializer;
+use serde::de::{MapAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -84,6 +89,11 @@
         }
     }
 
+    /// Forgets all but the images that it used last.
+    pub fn forget_images(&mut self, but: usize) {
+        self.images.drain(..self.images.len().saturating_sub(but));
+    }
+
     /// What the address adds to the machine's number; the same for most machines of a cloud.
     fn address(&self, id: MachineId) -> Address {
         let at = self.endpoint?;
@@ -124,9 +134,11 @@
         kind + digits(id.0) + 6 + digits(r.dead) + 8
     }
 
-    /// About as many bytes as a machine takes with this many bookings, once names are shared.
-    pub fn usual_bytes(bookings: u64) -> usize {
-        20 + 4 * MachineRecord::IMAGES / 2 + 12 * bookings as usize
+    /// About as many bytes as a machine takes with this many bookings, once names are shared. In the
+    /// terser form tasks of one attempt share their entry.
+    pub fn usual_bytes(bookings: u64, terse: bool) -> usize {
+        let bookings = bookings as usize;
+        if terse { 16 + 4 * bookings } else { 20 + 4 * MachineRecord::IMAGES / 2 + 12 * bookings }
     }
 }
 
@@ -145,12 +157,7 @@
     a: Vec<(u64, u64)>,
     /// Machines: number (less the one before), kind, fitness, sessions that are over, how many
     /// images, the images, then attempt and task number of each booking.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     m: Vec<Vec<u64>>,
-    /// The same in the terser form: of bookings attempt, first task number, and the tasks from there on
-    /// as the bits of a mask.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    d: Vec<Vec<u64>>,
     /// Preempted bookings: machine, attempt, task number.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     p: Vec<(u64, u64, u64)>,
@@ -182,6 +189,15 @@
         let mut kinds = Numbered::new();
         let mut images = Numbered::new();
         let mut attempts = Numbered::new();
+        if self.terse {
+            // In order, so that each can be written as what it is beyond the one before.
+            let bookings = self.machines.values().flat_map(|r| r.tasks.iter().chain(&r.preempted));
+            let mut all: Vec<(u64, u64)> = bookings.map(|b| (b.0, b.2)).collect();
+            all.sort_unstable();
+            all.into_iter().for_each(|a| {
+                attempts.number(a, || a);
+            });
+        }
         let mut machines = Vec::with_capacity(self.machines.len());
         let mut preempted = Vec::new();
         let mut last = 0;
@@ -191,19 +207,24 @@
                 (r.build.to_string(), r.yard.to_string(), r.spot.into(), address)
             });
             let mut m = Vec::with_capacity(5 + r.images.len() + 2 * r.tasks.len());
-            m.extend([id.0 - last, kind, r.fitness as u64, r.dead, r.images.len() as u64]);
+            m.extend([id.0 - last, kind]);
+            let images_here = r.images.len() as u64;
+            if self.terse {
+                m.push(r.fitness as u64 | u64::from(r.dead > 0) << 2 | images_here << 3);
+                m.extend((r.dead > 0).then_some(r.dead));
+            } else {
+                m.extend([r.fitness as u64, r.dead, images_here]);
+            }
             for (name, size) in &r.images {
                 m.push(images.number((&**name, *size), || ((&**name).into(), *size)));
             }
+            let numbered = r.tasks.iter().map(|b| (attempts.number((b.0, b.2), || (b.0, b.2)), b.1));
             if self.terse {
-                let number = |b: &Booking| (attempts.number((b.0, b.2), || (b.0, b.2)), b.1);
-                let mut tasks: Vec<(u64, u32)> = r.tasks.iter().map(number).collect();
+                let mut tasks: Vec<(u64, u32)> = numbered.collect();
                 tasks.sort_unstable();
                 m.extend(masks(&tasks));
             } else {
-                for b in &r.tasks {
-                    m.extend([attempts.number((b.0, b.2), || (b.0, b.2)), b.1.into()]);
-                }
+                m.extend(numbered.flat_map(|(a, index)| [a, index.into()]));
             }
             for b in &r.preempted {
                 preempted.push((id.0, attempts.number((b.0, b.2), || (b.0, b.2)), b.1.into()));
@@ -211,11 +232,38 @@
             last = id.0;
             machines.push(m);
         }
-        let (m, d) = if self.terse { (Vec::new(), machines) } else { (machines, Vec::new()) };
-        Wire { k: kinds.all, i: images.all, a: attempts.all, m, d, p: preempted }.serialize(s)
+        let wire = Wire { k: kinds.all, i: images.all, a: attempts.all, m: machines, p: preempted };
+        if self.terse { wire.terse().map_err(serde::ser::Error::custom)?.serialize(s) } else { wire.serialize(s) }
     }
 }
 
+/// The fields of a [`Wire`] in order, as the terser form has them.
+type TerseWire<'a> = (Vec<Kind>, Vec<(std::borrow::Cow<'a, str>, u64)>, Vec<u64>, Vec<Vec<u64>>, Vec<(u64, u64, u64)>);
+
+/// Attempts, in order, as jobs and numbers: jobs less the one before, numbers less the largest, which
+/// stands first.
+fn less_before(attempts: &[(u64, u64)]) -> Vec<u64> {
+    let newest = attempts.iter().map(|(_, number)| *number).max().unwrap_or(0);
+    let mut last = 0;
+    let each = attempts.iter().flat_map(|(job, number)| {
+        let beyond = job - std::mem::replace(&mut last, *job);
+        [beyond, newest - number]
+    });
+    [newest].into_iter().chain(each).collect()
+}
+
+/// What [`less_before`] was made from.
+fn summed_up(numbers: &[u64]) -> Option<Vec<(u64, u64)>> {
+    let (newest, each) = numbers.split_first()?;
+    let mut last: u64 = 0;
+    each.chunks(2)
+        .map(|c| {
+            last = last.checked_add(c[0])?;
+            Some((last, newest.checked_sub(*c.get(1)?)?))
+        })
+        .collect()
+}
+
 /// Tasks, in order, by attempt, first task number and mask.
 fn masks(tasks: &[(u64, u32)]) -> Vec<u64> {
     let mut all = Vec::new();
@@ -231,8 +279,16 @@
 }
 
 impl Wire<'_> {
+    /// The terser form: MessagePack as text. Of a machine fitness, whether sessions are over (the latest
+    /// then follows) and how many images are one number; of bookings it has the attempt, the first task
+    /// number, and the tasks from there on as the bits of a mask.
+    fn terse(self) -> Result<String, rmp_serde::encode::Error> {
+        let fields: TerseWire<'_> = (self.k, self.i, less_before(&self.a), self.m, self.p);
+        Ok(URL_SAFE_NO_PAD.encode(rmp_serde::to_vec(&fields)?))
+    }
+
     /// `None` if a number refers to nothing.
-    fn record(self) -> Option<GroupRecord> {
+    fn record(self, terse: bool) -> Option<GroupRecord> {
         let images: Vec<(Arc<str>, u64)> = self.i.iter().map(|(n, s)| (Arc::from(&**n), *s)).collect();
         let shared = |(b, y, s, e): Kind| -> (Arc<str>, Arc<str>, bool, Address) { (b.into(), y.into(), s == 1, e) };
         let kinds: Vec<_> = self.k.into_iter().map(shared).collect();
@@ -243,9 +299,17 @@
         };
         let mut machines = BTreeMap::new();
         let mut last: u64 = 0;
-        let terse = self.m.is_empty();
-        for m in self.m.into_iter().chain(self.d) {
-            let [id, kind, fitness, dead, images_here, rest @ ..] = &*m else { return None };
+        for m in self.m {
+            let (id, kind, fitness, dead, images_here, rest) = match &*m {
+                [id, kind, head, dead, rest @ ..] if terse && head >> 2 & 1 == 1 => {
+                    (id, kind, head & 3, *dead, head >> 3, rest)
+                }
+                [id, kind, head, rest @ ..] if terse => (id, kind, head & 3, 0, head >> 3, rest),
+                [id, kind, fitness, dead, images_here, rest @ ..] if !terse => {
+                    (id, kind, *fitness, *dead, *images_here, rest)
+                }
+                _ => return None,
+            };
             last = last.checked_add(*id)?;
             let (build, yard, spot, address) = kinds.get(usize::try_from(*kind).ok()?)?;
             let endpoint = match address {
@@ -255,15 +319,15 @@
                 }
                 None => None,
             };
-            let (has, tasks) = rest.split_at_checked(usize::try_from(*images_here).ok()?)?;
+            let (has, tasks) = rest.split_at_checked(usize::try_from(images_here).ok()?)?;
             let has = has.iter().map(|i| images.get(usize::try_from(*i).ok()?).cloned());
             let record = MachineRecord {
                 build: Arc::clone(build),
                 yard: Arc::clone(yard),
                 spot: *spot,
                 endpoint,
-                fitness: *Fitness::ALL.get(usize::try_from(*fitness).ok()?)?,
-                dead: *dead,
+                fitness: *Fitness::ALL.get(usize::try_from(fitness).ok()?)?,
+                dead,
                 images: has.collect::<Option<_>>()?,
                 tasks: if terse {
                     let masks = tasks.chunks(3).map(|t| Some((t[0], *t.get(1)?, *t.get(2)?)));
@@ -285,10 +349,33 @@
     }
 }
 
+struct Reading;
+
+impl<'de> Visitor<'de> for Reading {
+    type Value = GroupRecord;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a group")
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<GroupRecord, E> {
+        let bytes = URL_SAFE_NO_PAD.decode(text).map_err(E::custom)?;
+        let (k, i, a, m, p): TerseWire<'_> = rmp_serde::from_slice(&bytes).map_err(E::custom)?;
+        let a = summed_up(&a).ok_or_else(|| E::custom("attempts that are none"))?;
+        Wire { k, i, a, m, p }.record(true).ok_or_else(|| E::custom(REFERS_TO_NOTHING))
+    }
+
+    fn visit_map<M: MapAccess<'de>>(self, map: M) -> Result<GroupRecord, M::Error> {
+        let wire = Wire::deserialize(MapAccessDeserializer::new(map))?;
+        wire.record(false).ok_or_else(|| serde::de::Error::custom(REFERS_TO_NOTHING))
+    }
+}
+
+const REFERS_TO_NOTHING: &str = "a number in the group refers to nothing";
+
 impl<'de> Deserialize<'de> for GroupRecord {
     fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
-        let wire = Wire::deserialize(d)?;
-        wire.record().ok_or_else(|| serde::de::Error::custom("a number in the group refers to nothing"))
+        d.deserialize_any(Reading)
     }
 }
 
--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -13,8 +13,10 @@
 
 /// Bytes that a transaction may take; the service allows a little more.
 const TXN_BYTES: usize = 56 * 1024;
-/// Bytes kept free of a record for changes that must not wait: marks of machines.
+/// Bytes kept free of a record for changes that must not wait: marks of machines. Of a small one less.
 const SPARE_BYTES: usize = 256;
+/// Images that are remembered of each machine where a record has no room for more bookings otherwise.
+const FEW_IMAGES: usize = 2;
 /// Largest job whose ends go into its slice's usage record. The ends of larger ones come in
 /// numbers, so a write of their own record carries many.
 const SMALL_JOB: u32 = 256;
@@ -61,6 +63,8 @@
     bytes: usize,
     /// Most that it may have.
     most: usize,
+    /// Its machines' images were forgotten but for a few.
+    pruned: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -209,7 +213,7 @@
                 let record = self.view.groups[k].get(&n).map(|g| g.value.clone()).unwrap_or_default();
                 let record = GroupRecord { terse: self.terse, ..record };
                 let bytes = size_of(&record);
-                ((k, n), GroupEdit { record, bytes, most: self.limits.most(bytes) })
+                ((k, n), GroupEdit { record, bytes, most: self.limits.most(bytes), pruned: false })
             })
             .collect();
         let usage = new_usage.map(|k| {
@@ -256,10 +260,17 @@
         let Some(g) = self.groups.get_mut(&at) else {
             return false;
         };
+        let spare = spare.min(g.most / 16);
         if g.bytes + by + spare > g.most {
             // What was added up are upper bounds; near the limit it is worth looking.
             g.bytes = size_of(&g.record);
         }
+        if g.bytes + by + spare > g.most && self.terse && !g.pruned {
+            // Better to fetch an image again than to leave a machine without work.
+            g.pruned = true;
+            g.record.machines.values_mut().for_each(|r| r.forget_images(FEW_IMAGES));
+            g.bytes = size_of(&g.record);
+        }
         if g.bytes + by + spare > g.most || self.bytes + by > TXN_BYTES {
             return false;
         }
--- a/src/coordination/draft/shrink.rs
+++ b/src/coordination/draft/shrink.rs
@@ -51,7 +51,7 @@
             let takes = size_of(&alone);
             // Once full it may take more than now. One that has no room alone stays.
             let expected = alone.machines.values().map(|r| full(&r.build)).sum::<usize>().max(takes);
-            if takes + super::SPARE_BYTES > self.limits.value_bytes {
+            if takes + super::SPARE_BYTES / 2 > self.limits.value_bytes {
                 continue;
             }
             if new.is_empty() || expected > left || bytes + takes > super::TXN_BYTES {
@@ -76,12 +76,12 @@
         let next = self.view.groups[k].keys().next_back().map_or(0, |last| last + 1);
         let most = self.limits.value_bytes;
         for (n, record) in (next..).zip(new) {
-            let edit = GroupEdit { bytes: size_of(&record), record, most };
+            let edit = GroupEdit { bytes: size_of(&record), record, most, pruned: false };
             self.groups.insert((k, n), edit);
         }
         self.conditions.extend([Key::Own(k), Key::Group(k, n)]);
         if writes {
-            self.groups.insert((k, n), GroupEdit { bytes: size_of(&rest), record: rest, most: size });
+            self.groups.insert((k, n), GroupEdit { bytes: size_of(&rest), record: rest, most: size, pruned: false });
         } else {
             self.raise = Some((k, me.clone()));
         }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -13,11 +13,12 @@
 use crate::bookkeeping::placement::{Ask, Claim, Groups, Running, Slot, plan, preempt};
 use crate::bookkeeping::records::{Fitness, GroupRecord, Key, MachineRecord, TERSE};
 use crate::bookkeeping::time::Micros;
-use crate::bookkeeping::view::{Change, Job, Touched};
+use crate::bookkeeping::view::{Change, Job, Touched, View};
 use crate::protocol::settings::ObjectiveKind;
 use crate::protocol::state::{CallError, StateReply, StateRequest};
+use std::cmp::Reverse;
 use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A round that waits for its answer.
 #[derive(Debug)]
@@ -113,12 +114,19 @@
         self.clears.len()
     }
 
-    /// Bookings to be cleared, those that have waited longest first: a round has room for few records,
-    /// and none may be left out for ever.
-    fn clears_in_order(&self) -> Vec<(MachineId, Attempt, Outcome)> {
-        let mut all: Vec<_> = self.clears.iter().map(|((m, a), (o, since))| (*since, *m, *a, *o)).collect();
-        all.sort_unstable_by_key(|(since, m, a, _)| (*since, *m, *a));
-        all.into_iter().map(|(_, m, a, o)| (m, a, o)).collect()
+    /// Bookings to be cleared. A round has room for few records: first come those for which most waits,
+    /// each end counting by how long it has waited, so none is left out for ever.
+    fn clears_in_order(&self, view: &View, now: Micros) -> Vec<(MachineId, Attempt, Outcome)> {
+        const HEAD_START: Micros = Micros::millis(500);
+        let mut weights: HashMap<_, u64> = HashMap::new();
+        for ((m, _), (_, since)) in &self.clears {
+            *weights.entry(view.home(*m)).or_default() += (now.since(*since) + HEAD_START).0;
+        }
+        let weight = |m: MachineId| weights.get(&view.home(m)).copied().unwrap_or(0);
+        let mut all: Vec<_> =
+            self.clears.iter().map(|((m, a), (o, since))| (Reverse(weight(*m)), *since, *m, *a, *o)).collect();
+        all.sort_unstable_by_key(|(weight, since, m, a, _)| (*weight, *since, *m, *a));
+        all.into_iter().map(|(_, _, m, a, o)| (m, a, o)).collect()
     }
 
     /// Wants a machine's record changed; false if that was wanted already.
@@ -310,7 +318,7 @@
     fn full_bytes(&self, build: &str) -> usize {
         let room = self.view.machine_type(build).map(|t| t.room).unwrap_or_default();
         let tasks = self.view.jobs.values().map(|j| j.spec().need.times_in(&room, 1_000)).max();
-        GroupRecord::usual_bytes(tasks.unwrap_or(0).max(1))
+        GroupRecord::usual_bytes(tasks.unwrap_or(0).max(1), self.view.layout() >= TERSE)
     }
 
     fn draft_round(&mut self, limits: Limits, lean_only: bool) -> Option<Drafted> {
@@ -361,7 +369,7 @@
                 draft.remove(*m);
             }
         }
-        for (m, a, outcome) in self.rounds.clears_in_order() {
+        for (m, a, outcome) in self.rounds.clears_in_order(view, self.now.steady) {
             if draft.clear(m, a, outcome, view.machine_slice(m)) {
                 cleared += 1;
             }
@@ -469,7 +477,7 @@
             return None;
         }
         let mut cleared = 0;
-        for (m, a, outcome) in self.rounds.clears_in_order() {
+        for (m, a, outcome) in self.rounds.clears_in_order(&self.view, self.now.steady) {
             if draft.covers(m, a) && draft.clear(m, a, outcome, self.view.machine_slice(m)) {
                 cleared += 1;
             }
