--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -693,7 +693,7 @@
     use crate::bookkeeping::records::{FIRST_LAYOUT, MetaRecord};
     use crate::bookkeeping::view::Touched;
 
-    fn machine() -> MachineRecord {
+    pub(super) fn machine() -> MachineRecord {
         MachineRecord {
             build: "small".into(),
             yard: "a".into(),
@@ -727,19 +727,24 @@
     }
 
     /// Whether the store would apply the transaction, as the view knows the store.
-    fn holds(view: &View, commit: &Commit) -> bool {
+    pub(super) fn holds(view: &View, commit: &Commit) -> bool {
         commit.txn.when.iter().all(|(k, s)| view.stamp(k) == *s)
     }
 
-    fn apply(view: &mut View, commit: Commit, stamp: u64) {
+    pub(super) fn apply(view: &mut View, commit: Commit, stamp: u64) {
         assert!(holds(view, &commit));
         view.apply(commit.changes.into_iter().map(|c| Change { stamp, ..c }), &mut Touched::default());
         view.advance(stamp);
     }
 
     fn new_view() -> View {
+        view_of(FIRST_LAYOUT)
+    }
+
+    /// A copy with nothing in it.
+    pub(super) fn view_of(layout: u32) -> View {
         let mut view = View::default();
-        let meta = MetaRecord { layout: FIRST_LAYOUT, slices: 1, teams: BTreeMap::new() };
+        let meta = MetaRecord { layout, slices: 1, teams: BTreeMap::new() };
         let change = Change { key: Key::Meta, content: Some(Content::Meta(meta)), stamp: 1 };
         view.apply([change], &mut Touched::default());
         view.advance(1);
--- a/src/coordination/draft/shrink.rs
+++ b/src/coordination/draft/shrink.rs
@@ -122,3 +122,178 @@
         moved
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::tests::{apply, holds, machine, view_of};
+    use super::super::{Commit, Limits};
+    use super::*;
+    use crate::bookkeeping::finished::Finished;
+    use crate::bookkeeping::ids::{Attempt, TaskId};
+    use crate::bookkeeping::job::{JobRecord, JobSpec, Urgency};
+    use crate::bookkeeping::records::{Booking, Incarnation, LAYOUT, UsageRecord};
+    use crate::bookkeeping::view::{Change, Content, Touched};
+    use crate::protocol::state::encode;
+    use std::collections::{BTreeMap, BTreeSet};
+
+    const MOST: usize = 2_048;
+
+    fn limits(taken_bytes: usize) -> Limits {
+        let (ops, part_bytes) = (4, MOST - 128);
+        Limits { ops, conditions: 4 * ops, value_bytes: MOST, taken_bytes, large_grow: false, part_bytes }
+    }
+
+    fn me() -> OwnRecord {
+        OwnRecord { node: "n0".to_owned(), run: Incarnation(1) }
+    }
+
+    fn job(pieces: u32) -> JobRecord {
+        let text = r#"{"s":{"l":"lane","w":"free","u":"2","n":1,"r":[1000,0,1000],"i":"img","g":9000000},"t":1}"#;
+        let record: JobRecord = serde_json::from_str(text).unwrap();
+        JobRecord { spec: JobSpec { pieces, urgency: Urgency::Low, ..record.spec }, ..record }
+    }
+
+    /// Many machines in one part, each with a task of a job of its own.
+    fn large_group(machines: u64) -> View {
+        let mut view = view_of(LAYOUT);
+        let mut g = GroupRecord::default();
+        let mut changes = Vec::new();
+        for m in 1..=machines {
+            let id = JobId(300_000 + m * 7_919);
+            let mut r = machine();
+            r.tasks.push(Booking::of(Attempt { task: TaskId { job: id, index: 0 }, number: m * 70_000 }));
+            g.machines.insert(MachineId(m), r);
+            changes.push(Change { key: Key::Job(id), content: Some(Content::Job(Box::new(job(1)))), stamp: 2 });
+        }
+        changes.push(Change { key: Key::Group(0, 0), content: Some(Content::Group(g)), stamp: 2 });
+        view.apply(changes, &mut Touched::default());
+        view.advance(2);
+        view
+    }
+
+    fn step(view: &View, key: &Key, taken: usize) -> Option<Commit> {
+        let mut draft = Draft::new(view, limits(taken));
+        draft.shrink(key, &me(), &|_| 16).then(|| draft.commit())
+    }
+
+    /// What the store holds, as every write left it.
+    type Store = BTreeMap<String, (Content, u64)>;
+
+    fn store(view: &View, key: &Key, store: &mut Store, commit: &Commit, stamp: u64) {
+        assert!(holds(view, commit));
+        assert!(commit.txn.then.len() <= 4 && commit.txn.when.len() <= 16, "{key}");
+        assert!(commit.txn.largest() <= MOST, "{key}: {} bytes", commit.txn.largest());
+        for c in &commit.changes {
+            match &c.content {
+                Some(content) => store.insert(c.key.to_string(), (content.clone(), stamp)),
+                None => store.remove(&c.key.to_string()),
+            };
+        }
+    }
+
+    fn machines(view: &View) -> BTreeSet<(MachineId, Vec<Booking>)> {
+        view.machines().map(|(_, m, r)| (m, r.tasks.clone())).collect()
+    }
+
+    /// A group that is too large for the limits in force is copied in steps of which each is complete:
+    /// at any time every reader sees every machine once, nothing planned before a step is applied after
+    /// it, and no machine goes while it would come up again.
+    #[test]
+    fn a_group_that_cannot_be_written_is_copied() {
+        let mut view = large_group(700);
+        let all = machines(&view);
+        let before = view.groups[0][&0].clone();
+        let mut kept = Store::new();
+        kept.insert("c/group/0/0".to_owned(), (Content::Group(before.value), before.stamp));
+        let key = Key::Group(0, 0);
+        let mut stamp = 2;
+        let mut copied = 0;
+        while too_large(&view, &key, MOST) {
+            // Whoever planned on the copy of before: a task of a machine that is copied now is cleared.
+            let (m, record) = view.groups[0][&0].value.machines.last_key_value().unwrap();
+            let mut late = Draft::new(&view, limits(16 * 1_024));
+            assert!(late.clear(*m, record.tasks[0].attempt(), super::super::Outcome::Again, 0));
+            let late = late.commit();
+            let commit = step(&view, &key, MOST).expect("a step");
+            let again = step(&view, &key, MOST).expect("a step");
+            stamp += 1;
+            store(&view, &key, &mut kept, &commit, stamp);
+            apply(&mut view, commit, stamp);
+            assert!(!holds(&view, &late), "what was planned before is applied");
+            assert!(!holds(&view, &again), "the step is applied twice");
+            assert_eq!(machines(&view), all, "after step {stamp}");
+            // A controller that starts now reads the keys in their order.
+            let mut fresh = view_of(LAYOUT);
+            let listed = kept.iter().map(|(k, (content, stamp))| Change {
+                key: Key::parse(k).unwrap(),
+                content: Some(content.clone()),
+                stamp: *stamp,
+            });
+            fresh.apply(listed, &mut Touched::default());
+            assert_eq!(machines(&fresh), all, "a fresh copy after step {stamp}");
+            if let Some(stale) = view.machines().map(|(_, m, _)| m).find(|m| view.is_stale(*m)) {
+                copied += 1;
+                let mut draft = Draft::new(&view, limits(MOST));
+                let booking = view.machine(stale).unwrap().tasks[0].attempt();
+                assert!(draft.clear(stale, booking, super::super::Outcome::Again, 0));
+                assert!(!draft.remove(stale), "it would come up again");
+            }
+        }
+        assert!(copied > 1, "nothing was copied");
+        assert!(view.machines().all(|(_, m, _)| !view.is_stale(m)));
+        assert!(view.groups[0].values().all(|g| size_of(&g.value) <= MOST));
+    }
+
+    /// While it can still be written, its machines are moved.
+    #[test]
+    fn a_group_that_can_be_written_is_split() {
+        let mut view = large_group(300);
+        let all = machines(&view);
+        let key = Key::Group(0, 0);
+        let mut stamp = 2;
+        while too_large(&view, &key, MOST) {
+            let commit = step(&view, &key, 16 * 1_024).expect("a step");
+            assert!(commit.txn.when.iter().any(|(k, _)| *k == Key::Own(0)), "not on the term");
+            stamp += 1;
+            apply(&mut view, commit, stamp);
+            assert_eq!(machines(&view), all, "after step {stamp}");
+            assert!(view.machines().all(|(_, m, _)| !view.is_stale(m)));
+        }
+    }
+
+    /// Ends are never lost on their way from a usage record to those of the jobs.
+    #[test]
+    fn ends_of_a_usage_record_that_cannot_be_written_are_copied() {
+        for taken in [16 * 1_024, MOST] {
+            let mut view = view_of(LAYOUT);
+            let mut usage = UsageRecord::default();
+            usage.add("free", 1_000, 0);
+            let mut changes = Vec::new();
+            for j in 1..=90 {
+                let mut ends = Finished::default();
+                ends.insert(j);
+                ends.insert(100);
+                usage.ends.insert(JobId(j.into()), ends);
+                let content = Some(Content::Job(Box::new(job(120))));
+                changes.push(Change { key: Key::Job(JobId(j.into())), content, stamp: 2 });
+            }
+            changes.push(Change { key: Key::Usage(0), content: Some(Content::Usage(usage)), stamp: 2 });
+            view.apply(changes, &mut Touched::default());
+            view.advance(2);
+            assert!(encode(&view.usage[0].value).unwrap().get().len() > MOST);
+            let mut stamp = 2;
+            while too_large(&view, &Key::Usage(0), MOST) {
+                let commit = step(&view, &Key::Usage(0), taken).expect("a step");
+                assert!(commit.txn.then.len() <= 4);
+                assert!(taken > MOST || commit.txn.largest() <= MOST);
+                stamp += 1;
+                apply(&mut view, commit, stamp);
+                for j in 1..=90 {
+                    let job = &view.jobs[&JobId(j.into())];
+                    assert!(job.done() == 2 && job.finished(j) && job.finished(100), "job {j} after step {stamp}");
+                }
+            }
+            assert_eq!(view.usage[0].value.of("free"), (1_000, 0));
+        }
+    }
+}
--- a/src/coordination/limits.rs
+++ b/src/coordination/limits.rs
@@ -29,6 +29,11 @@
         InForce { now, next, sizes_fell: false, rate_fell: false, refusals: VecDeque::new() }
     }
 
+    /// The limits of the settings as they are now, for ever.
+    pub fn unaware(settings: &Settings) -> InForce {
+        InForce { next: settings.limits, ..InForce::new(settings) }
+    }
+
     /// Most changes of one transaction.
     pub fn txn_ops(&self) -> usize {
         if self.sizes_fell { self.next.txn_ops } else { self.now.txn_ops }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::bookkeeping::catalog::Catalog;
 use crate::bookkeeping::ids::{JobId, MachineId, Slice};
-use crate::bookkeeping::records::{FleetRecord, HireRecord, Incarnation, LAYOUT};
+use crate::bookkeeping::records::{FleetRecord, HireRecord, Incarnation, LAYOUT, TERSE};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Touched, View};
 use crate::protocol::cloud::{CloudReply, CloudRequest};
@@ -227,9 +227,14 @@
         }
     }
 
-    /// The same controller, as it would be if it understood layouts of the records up to this one only.
-    pub fn understanding(self, layout: u32) -> Controller {
-        Controller { layout, ..self }
+    /// The same controller, as it would be if it understood layouts of the records up to this one only. One
+    /// that understands no terse forms knows of no next limits either.
+    pub fn understanding(mut self, layout: u32) -> Controller {
+        self.layout = layout;
+        if layout < TERSE {
+            self.limits = limits::InForce::unaware(&self.cfg);
+        }
+        self
     }
 
     /// Takes an event and returns what is to be done about it.
--- a/tests/runner/state.rs
+++ b/tests/runner/state.rs
@@ -30,6 +30,9 @@
     requests: Bucket,
     changes: Bucket,
     pub throttled: u64,
+    /// Transactions that were refused for the limits that fell.
+    pub refused: u64,
+    fell: bool,
     /// Requests and changes that came.
     pub came: (u64, u64),
 }
@@ -78,6 +81,8 @@
             requests: Bucket::new(rates.0),
             changes: Bucket::new(rates.1),
             throttled: 0,
+            refused: 0,
+            fell: false,
             came: (0, 0),
         }
     }
@@ -94,6 +99,18 @@
         found.map(|(k, i)| (k.as_str(), &i.value))
     }
 
+    /// From now on other limits hold: changes a second, bytes of a value, changes of a transaction.
+    pub fn lower(&mut self, rate: f64, value_bytes: usize, txn_ops: usize) {
+        self.changes.rate = rate;
+        (self.value_bytes, self.txn_ops, self.fell) = (value_bytes, txn_ops, true);
+    }
+
+    /// The largest value that is kept, with its size.
+    pub fn largest(&self) -> (&str, usize) {
+        let sizes = self.items.iter().map(|(k, i)| (k.as_str(), i.value.to_string().len()));
+        sizes.max_by_key(|(_, n)| *n).unwrap_or_default()
+    }
+
     /// Starts an outage; every lease has its full time again after it.
     pub fn outage(&mut self, now: u64, span: u64) {
         self.out_until = now + span;
@@ -230,7 +247,12 @@
         let none = Vec::new();
         let when = body["when"].as_array().unwrap_or(&none);
         let then = body["then"].as_array().unwrap_or(&none);
-        // What the real service would refuse must never be sent.
+        let too_large = |t: &Value| t["value"].to_string().len() > self.value_bytes;
+        if self.fell && (then.len() > self.txn_ops || when.len() > self.txn_ops * 4 || then.iter().any(too_large)) {
+            self.refused += 1;
+            return (400, json!({"error": "too large"}));
+        }
+        // What the real service would refuse must never be sent, unless its limits fell.
         assert!(then.len() <= self.txn_ops, "too many changes: {body}");
         assert!(when.len() <= self.txn_ops * 4, "too many conditions: {body}");
         assert!(body.to_string().len() <= 64 * 1024, "too large a transaction");
