--- /dev/null
+++ b/tests/production.rs
@@ -0,0 +1,135 @@
+//! The version in production before pipelines, and this one, side by side: each reads what the other writes.
+
+#[path = "production/frozen.rs"]
+mod frozen;
+#[allow(dead_code)]
+mod runner;
+
+use cometlead::bookkeeping::records::{Key, NodeRecord};
+use cometlead::bookkeeping::view::{Change, Content, Touched, View};
+use cometlead::protocol::peer::PeerHint;
+use cometlead::protocol::state::{decode, encode};
+use runner::World;
+use runner::script::Script;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::value::RawValue;
+use std::collections::BTreeMap;
+
+const RECORDS: &str = include_str!("production/records.json");
+
+/// What the frozen readers make of a record, written by the frozen writers.
+fn by_production(key: &Key, text: &str) -> Option<Value> {
+    fn pass<T: DeserializeOwned + Serialize>(text: &str) -> Option<Value> {
+        serde_json::to_value(serde_json::from_str::<T>(text).ok()?).ok()
+    }
+    match key {
+        Key::Meta => pass::<frozen::MetaRecord>(text),
+        Key::Fleet => pass::<frozen::FleetRecord>(text),
+        Key::Node(_) => pass::<frozen::NodeRecord>(text),
+        Key::Own(_) => pass::<frozen::OwnRecord>(text),
+        Key::Group(..) => pass::<frozen::GroupRecord>(text),
+        Key::Usage(_) => pass::<frozen::UsageRecord>(text),
+        Key::Job(_) => pass::<frozen::JobRecord>(text),
+        Key::Chunk(..) => pass::<frozen::Finished>(text),
+        Key::Final(_) => pass::<frozen::FinalRecord>(text),
+        Key::Types => serde_json::from_str(text).ok(),
+    }
+}
+
+/// The same by this version.
+fn by_this(key: &Key, text: &str) -> Option<Value> {
+    let raw = RawValue::from_string(text.to_owned()).ok()?;
+    let written = match decode(key, &raw)? {
+        Content::Meta(r) => encode(&r),
+        Content::Types(r) => encode(&r),
+        Content::Fleet(r) => encode(&r),
+        Content::Node(r) => encode(&r),
+        Content::Own(r) => encode(&r),
+        Content::Group(mut r) => {
+            r.terse = false;
+            encode(&r)
+        }
+        Content::Usage(r) => encode(&r),
+        Content::Job(r) => encode(&*r),
+        Content::Chunk(r) => encode(&r),
+    };
+    serde_json::from_str(written?.get()).ok()
+}
+
+#[test]
+fn reads_what_production_wrote_and_loses_nothing() {
+    let records: BTreeMap<String, Box<RawValue>> = serde_json::from_str(RECORDS).unwrap();
+    let mut view = View::default();
+    for (i, (key, value)) in records.iter().enumerate() {
+        let key = Key::parse(key).unwrap_or_else(|| panic!("{key}"));
+        if matches!(key, Key::Final(_)) {
+            let end: cometlead::bookkeeping::job::FinalRecord = serde_json::from_str(value.get()).unwrap();
+            assert_eq!(end.at.0, 0);
+            continue;
+        }
+        let same: Value = serde_json::from_str(value.get()).unwrap();
+        assert_eq!(by_this(&key, value.get()), Some(same), "{key}");
+        let content = decode(&key, value);
+        view.apply([Change { key, content, stamp: i as u64 + 1 }], &mut Touched::default());
+    }
+    assert!(!view.foreign(3) && view.layout() == 2);
+    assert!(view.machines().count() > 5 && view.jobs.len() > 3);
+    assert!(view.jobs.values().all(|j| j.ready() || j.cancelled()));
+    assert!(view.jobs.values().any(|j| !j.ends.is_empty()), "ends of tasks in a usage record");
+}
+
+/// Until every controller has this version, production reads rightly all that this one writes.
+#[test]
+fn production_reads_what_is_written_before_the_raise() {
+    let text = "seed 72\nold\nnext value_kb=2 txn_ops=4\nteam red cores=8 most=40\nend 40\n\
+                at 0.5 upgrade n0 for=1\nat 0.5 upgrade n1 for=1\n\
+                at 2 submit req-000001 pieces=90 cores=1 run=7 team=red due=90\n\
+                at 4 submit req-000003 pieces=3 cores=1 run=400 bookmark=5 stash=2 urgency=low\n\
+                at 5 submit req-000004 pieces=2 cores=1 run=3\nat 20 abort req-000003\n\
+                at 22 submit req-000005 pieces=40 cores=2 run=300 urgency=high\n";
+    let mut world = World::new(Script::parse(text).unwrap());
+    world.run();
+    assert!(world.verdict().is_empty(), "{:?}", world.verdict());
+    let mut read = 0;
+    for prefix in ["c/", "final/"] {
+        for (key, value) in world.state.values(prefix) {
+            let key = Key::parse(key).unwrap();
+            let text = value.to_string();
+            let theirs = by_production(&key, &text).unwrap_or_else(|| panic!("{key}: {text}"));
+            let mut ours = by_this(&key, &text).unwrap_or_else(|| value.clone());
+            // What production does not know it drops from these, which nobody else writes again.
+            let dropped = match key {
+                Key::Node(_) => "v",
+                Key::Final(_) => "t",
+                _ => "",
+            };
+            ours.as_object_mut().map(|o| o.remove(dropped));
+            assert_eq!(theirs, ours, "{key}");
+            read += 1;
+        }
+    }
+    assert!(read > 12, "only {read} records");
+}
+
+#[test]
+fn hints_are_the_same_for_both() {
+    let hex = include_str!("production/hint.hex").trim();
+    let bytes: Vec<u8> = (0..hex.len() / 2).map(|i| u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).unwrap()).collect();
+    let ours: PeerHint = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!((ours.spends, ours.heard_ms, ours.pressed), (3100, Some(40), true));
+    let written = rmp_serde::to_vec(&ours).unwrap();
+    assert_eq!(written, bytes);
+    let theirs: frozen::PeerHint = rmp_serde::from_slice(&written).unwrap();
+    assert_eq!(theirs.terms, ours.terms);
+}
+
+#[test]
+fn says_what_it_understands_in_a_record_that_production_reads() {
+    let new: NodeRecord = serde_json::from_str(r#"{"run":7,"v":3}"#).unwrap();
+    assert_eq!(new.layout, Some(3));
+    let old: frozen::NodeRecord = serde_json::from_str(r#"{"run":7,"v":3}"#).unwrap();
+    assert_eq!(old.run.0, 7);
+    assert_eq!(serde_json::from_str::<NodeRecord>(r#"{"run":7}"#).unwrap().layout, None);
+}
