--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -130,8 +130,41 @@
             _ => format!("at {at} take i-{machine:06} notice={}\n", pick(8)),
         };
     }
-    // Days from here on have the troubles of operations as well.
-    if seed > 1000 {
+    // Days from here on have an upgrade, pipelines and limits that fall.
+    if seed > 2000 {
+        text += "old\nnext value_kb=2 txn_ops=4 changes=25\n";
+        let mut last = 5 + pick(20);
+        let order = [[0, 1, 2], [2, 0, 1], [1, 2, 0]][pick(3) as usize];
+        for n in order {
+            text += &format!("at {last} upgrade n{n} for={}\n", 1 + pick(6));
+            last += 2 + pick(25);
+        }
+        text += &format!("at {} limits\n", last + pick(30));
+        for job in 200..230 {
+            let at = 15 + (job - 200) * 5 + pick(4);
+            let mut names = Vec::new();
+            for _ in 0..pick(4) {
+                // Those of the other kinds as well, and now and then one that nobody submitted.
+                names.push(if pick(4) == 0 {
+                    format!("req-{:06}", 1 + pick(13))
+                } else {
+                    format!("req-{:06}", 200 + pick(job - 199))
+                });
+            }
+            let awaits = if names.is_empty() { String::new() } else { format!(" awaits={}", names.join(",")) };
+            text += &format!(
+                "at {at} submit req-{job:06} pieces={} cores=1 run={} urgency={} team={}{awaits}\n",
+                1 + pick(7),
+                1 + pick(9),
+                ["high", "standard", "low"][pick(3) as usize],
+                ["red", "blue", "free"][pick(3) as usize],
+            );
+            if pick(7) == 0 {
+                text += &format!("at {} abort req-{job:06}\n", at + pick(50));
+            }
+        }
+    } else if seed > 1000 {
+        // Days from here on have the troubles of operations as well.
         text += &format!("at {} boots factor={} for={}\n", pick(60), [0.02, 0.3, 5.0][pick(3) as usize], 20 + pick(60));
         let (at, span) = (5 + pick(140), 5 + pick(40));
         text += &format!("at {at} polls req-000001 count={} rate={} for={span}\n", 12 + pick(40), 5 + pick(40));
@@ -166,8 +199,10 @@
     let only: Option<u64> = std::env::var("SEED").ok().map(|s| s.parse().unwrap());
     let count: u64 = std::env::var("SEEDS").ok().map_or(120, |s| s.parse().unwrap());
     // The last ones catch what no other does: launches that were thought settled.
-    let seeds: Vec<u64> = only
-        .map_or_else(|| (1..=count).chain([304, 323, 444, 578]).chain(1001..=1000 + count / 2).collect(), |s| vec![s]);
+    let seeds: Vec<u64> = only.map_or_else(
+        || (1..=count).chain([304, 323, 444, 578]).chain(1001..=1000 + count / 2).chain(2001..=2000 + count).collect(),
+        |s| vec![s],
+    );
     let days: Vec<_> = seeds.into_iter().map(|seed| (format!("seed {seed}"), drawn(seed))).collect();
     let failures = play_all(&days);
     assert!(failures.is_empty(), "{}", failures.join("\n"));
