A round of four changes is full only when it has four; the log tells whom a submission's user was told to come back

Cause: with the lower limits every round counted as full, so no controller gathered its small rounds while a peer had more to write.

--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -270,8 +270,8 @@
         };
         self.budget.force(now, commit.txn.then.len());
         self.rounds.last = now;
-        // The end of a job takes two more changes, so a full round may be a little short.
-        if commit.txn.then.len() + 2 >= ops {
+        // The end of a job takes two more changes, so a full round of many may be a little short.
+        if commit.txn.then.len() + (ops / 6).min(2) >= ops {
             self.rounds.last_full = Some(now);
         }
         self.rounds.in_flight = true;
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -150,6 +150,10 @@
     }
 
     fn answer(&mut self, w: &Waiting, answer: UserAnswer) {
+        if matches!(answer, UserAnswer::Later(_)) && !w.only_asks() {
+            let waited = self.now.steady.since(w.since);
+            tracing::info!(job = %w.id, %waited, "told its user to come back");
+        }
         if w.only_asks() {
             let polls = &mut self.users.polls;
             *match answer {
