--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -779,4 +779,50 @@
         apply(&mut view, commit, 3);
         assert_eq!(view.groups[0].keys().copied().collect::<Vec<_>>(), [0]);
     }
+
+    /// With few changes in a transaction the last task of a job with several chunks and the end of the
+    /// job go out one after the other, and nobody who reads in between takes it for less than done.
+    #[test]
+    fn the_end_of_a_large_job_takes_two_steps() {
+        let mut view = view_of(TERSE);
+        let text = r#"{"s":{"l":"lane","w":"free","u":"2","n":8193,"r":{"c":1000},"i":"img","g":9000000},"t":1}"#;
+        let mut record: JobRecord = serde_json::from_str(text).unwrap();
+        (0..CHUNK).for_each(|i| {
+            record.finished.insert(i);
+        });
+        let id = JobId(7);
+        let last = Attempt { task: crate::bookkeeping::ids::TaskId { job: id, index: CHUNK }, number: 2 };
+        let mut g = GroupRecord::default();
+        let mut r = machine();
+        r.tasks.push(Booking::of(last));
+        g.machines.insert(MachineId(1), r);
+        let contents = [(Key::Job(id), Content::Job(Box::new(record))), (Key::Group(0, 0), Content::Group(g))];
+        view.apply(
+            contents.map(|(key, content)| Change { key, content: Some(content), stamp: 2 }),
+            &mut Touched::default(),
+        );
+        view.advance(2);
+        let limits = Limits {
+            ops: 4,
+            conditions: 16,
+            value_bytes: 2_048,
+            taken_bytes: 2_048,
+            large_grow: false,
+            part_bytes: 1_920,
+        };
+        let mut draft = Draft::new(&view, limits);
+        assert!(draft.clear(MachineId(1), last, Outcome::Done, 0), "never cleared");
+        let commit = draft.commit();
+        assert!(commit.txn.then.len() <= 4 && commit.ended.is_empty());
+        assert!(commit.txn.largest() <= 2_048, "{} bytes", commit.txn.largest());
+        apply(&mut view, commit, 3);
+        assert_eq!(view.jobs[&id].done(), CHUNK + 1);
+        let mut draft = Draft::new(&view, limits);
+        assert!(draft.end_done(id));
+        let commit = draft.commit();
+        assert_eq!(commit.ended.len(), 1);
+        assert_eq!(commit.ended[0].1.done, CHUNK + 1);
+        apply(&mut view, commit, 4);
+        assert!(view.jobs.is_empty());
+    }
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -7,7 +7,7 @@
 use crate::bookkeeping::ids::{JobId, MachineId};
 use crate::bookkeeping::records::{Fitness, FleetRecord, HireRecord, Key};
 use crate::bookkeeping::time::Micros;
-use crate::bookkeeping::view::{Change, Content, Touched};
+use crate::bookkeeping::view::{Change, Content, Job, Touched};
 use crate::protocol::cloud::{CloudReply, CloudRequest, HIRE_LIMIT, Host, HostStatus, RELEASE_LIMIT};
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -172,7 +172,8 @@
             .view
             .jobs
             .iter()
-            .filter(|(id, j)| j.ready() && !self.rounds.is_suspect(**id) && self.view.pending_count(**id, j) > 0)
+            .filter(|(id, j)| !self.rounds.is_suspect(**id) && self.view.pending_count(**id, j) > 0)
+            .filter(|(_, j)| j.ready() || self.nears(j) && self.lacks_machines(j))
             .collect();
         jobs.sort_by_key(|(id, j)| (j.urgency(), self.latest_start(j), **id));
         let mut used: BTreeMap<&str, u64> = BTreeMap::new();
@@ -195,6 +196,34 @@
         demands
     }
 
+    /// Whether a job's turn is near: of what it awaits all tasks that are left have started.
+    fn nears(&self, job: &Job) -> bool {
+        let started = |f: &JobId| match self.view.jobs.get(f) {
+            Some(j) => j.ready() && !self.rounds.is_suspect(*f) && self.view.pending_count(*f, j) == 0,
+            None => true,
+        };
+        !job.cancelled() && !job.stage.doubtful && job.spec().awaits.iter().all(started)
+    }
+
+    /// Whether the machines that a job may use would not hold it even if nothing else ran there: where
+    /// many are up some have room in time, and hiring ahead of the turn only costs.
+    fn lacks_machines(&self, job: &Job) -> bool {
+        let spec = job.spec();
+        let mut left = u64::from(spec.pieces);
+        for (_, _, r) in self.view.machines() {
+            if left == 0 {
+                return false;
+            }
+            if r.fitness == Fitness::Up
+                && spec.allows(&r.build, &r.yard, r.spot)
+                && let Some(t) = self.view.machine_type(&r.build)
+            {
+                left -= spec.need.times_in(&t.room, left);
+            }
+        }
+        left > 0
+    }
+
     /// Machines that are up or expected to come up.
     fn pools<'a>(&'a self, catalog: &Catalog) -> Pools<'a> {
         let mut pools = Pools::default();
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -613,11 +613,12 @@
                 continue;
             }
             let none_booked = self.view.booked(id).is_none();
-            if spec.gang && !none_booked {
+            if spec.gang && !none_booked && !self.in_parts(id) {
                 // What is left of a gang that lost a task ends by itself; then all are placed anew.
                 continue;
             }
-            let whole = spec.together() && none_booked && (spec.pieces as usize) <= Self::CLAIMS;
+            let fits = (spec.pieces as usize) <= Self::CLAIMS && !self.needs_parts(spec);
+            let whole = spec.together() && none_booked && fits;
             let suspect = self.rounds.is_suspect(id);
             if suspect && !spec.standing && !none_booked {
                 continue;
@@ -656,6 +657,38 @@
         asks
     }
 
+    /// Groups that one transaction can write beside a usage record.
+    fn groups_of_a_round(&self) -> usize {
+        self.limits.txn_ops() - 1
+    }
+
+    /// Whether there is room for all tasks of a set, but not on as many groups as one transaction can
+    /// write. Then it is booked in parts, round after round: a gang's tasks wait for each other.
+    fn needs_parts(&self, spec: &JobSpec) -> bool {
+        if !spec.together() {
+            return false;
+        }
+        let mut room: BTreeMap<_, u64> = BTreeMap::new();
+        for (_, m, r) in self.view.machines() {
+            if r.fitness == Fitness::Up && spec.allows(&r.build, &r.yard, r.spot) {
+                *room.entry(self.view.home(m)).or_default() +=
+                    spec.need.times_in(&self.view.free(r), spec.pieces.into());
+            }
+        }
+        let mut room: Vec<u64> = room.into_values().collect();
+        room.sort_unstable_by_key(|n| Reverse(*n));
+        let most: u64 = room.iter().take(self.groups_of_a_round()).sum();
+        most < spec.pieces.into() && room.iter().sum::<u64>() >= spec.pieces.into()
+    }
+
+    /// Whether a set is booked on as many groups as one transaction can write: then it may be one that is
+    /// booked in parts.
+    fn in_parts(&self, id: JobId) -> bool {
+        let places = self.view.booked(id).into_iter().flat_map(|b| b.values());
+        let groups: BTreeSet<_> = places.filter_map(|p| self.view.home(p.machine)).collect();
+        groups.len() >= self.groups_of_a_round()
+    }
+
     /// Tasks on a machine that may have to make room, the latest started last.
     fn running(&self, r: &MachineRecord, drafted: Option<&MachineRecord>) -> Vec<Running> {
         let mut running: Vec<Running> = r
