--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -268,9 +268,7 @@
         if hires.is_empty() {
             return;
         }
-        let mut record = self.view.fleet.value.clone();
-        let old = self.cfg.list_lag * 4 + Micros::secs(60);
-        record.hires.retain(|h| self.now.day.since(h.at) < old);
+        let mut record = self.fleet_record();
         let mut new = Vec::new();
         // A rental must not be forgotten before it is known what came of it: while the record is
         // full of such, nothing more is hired.
@@ -356,11 +354,24 @@
         patience.clamp(Micros(nominal.0 / 2 * 3), nominal * 5) + Micros::secs(5)
     }
 
-    fn write_fleet(&mut self, mut record: FleetRecord, new: Vec<HireRecord>) {
+    /// The fleet's record without what is long settled.
+    fn fleet_record(&self) -> FleetRecord {
+        let mut record = self.view.fleet.value.clone();
+        let old = self.cfg.list_lag * 4 + Micros::secs(60);
+        record.hires.retain(|h| self.now.day.since(h.at) < old);
         record.releasing.retain(|m| !self.fleet.confirmed.contains(m));
+        record
+    }
+
+    fn write_fleet(&mut self, record: FleetRecord, new: Vec<HireRecord>) {
+        let value = encode(&record);
+        if value.as_ref().is_none_or(|v| v.get().len() > self.limits.taken_bytes()) {
+            // Written under larger limits. Rentals are soon old enough to be left out, and releases answered.
+            return;
+        }
         let txn = Txn {
             when: vec![(Key::Own(0), self.view.stamp(&Key::Own(0))), (Key::Fleet, self.view.fleet.stamp)],
-            then: vec![Put { key: Key::Fleet, value: encode(&record), permit: None }],
+            then: vec![Put { key: Key::Fleet, value, permit: None }],
         };
         self.fleet.writing = true;
         self.budget.force(self.now.steady, 1);
@@ -660,7 +671,7 @@
         if machines.is_empty() || self.fleet.writing {
             return;
         }
-        let mut record = self.view.fleet.value.clone();
+        let mut record = self.fleet_record();
         let most = self.limits.value_bytes() / 2 / 8;
         for (m, age) in machines {
             if record.releasing.len() < most {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -260,6 +260,10 @@
     /// the other and never back, so to look in this order after a read misses none.
     fn consider(&mut self, mut w: Waiting, read: bool) {
         let Wish::Submit(spec) = &w.wish else { return };
+        if !self.reader.ready() {
+            // While the copy is read anew, jobs that are not in it may be live.
+            return self.answer(&w, Self::LATER);
+        }
         let mut missing = None;
         let mut refuse = None;
         for name in &spec.awaits {
