--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,44 @@
+//! The deploy file's announcement of lower limits.
+
+use cometlead::protocol::settings::{Settings, StateLimits};
+use serde_json::{Value, json};
+
+fn parse(next: Value) -> Result<(StateLimits, StateLimits), String> {
+    let file = json!({
+        "node": "n0", "zone": "a", "bind": "10.0.0.1:80", "back": "10.0.0.1:81", "others": [],
+        "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"},
+        "params": {"workers": {"report_s": 1, "lease_s": 10, "cancel_s": 35},
+            "state": {"rps": 100, "write_rps": 40, "value_kb": 16, "txn_ops": 12, "next": next},
+            "cloud": {"rps": 10, "list_lag_s": 4},
+            "quota": {"core_share": 0.1, "ram_mb": 40, "max_connections": 600}, "clock_error_ms": 200},
+    });
+    let settings = Settings::parse("deploy.json", file.to_string().as_bytes()).map_err(|e| e.to_string())?;
+    Ok((settings.limits, settings.next_limits))
+}
+
+#[test]
+fn what_is_not_announced_stays() {
+    for next in [json!(null), json!({}), json!({"write_rps": null})] {
+        let (now, next) = parse(next).unwrap();
+        assert_eq!(now, next);
+    }
+    let (now, next) = parse(json!({"txn_ops": 4, "later": 1})).unwrap();
+    assert_eq!((next.txn_ops, next.value_bytes, next.write_rps), (4, now.value_bytes, now.write_rps));
+    let (_, next) = parse(json!({"write_rps": 80.0, "value_kb": 32.0, "txn_ops": 12})).unwrap();
+    assert_eq!((next.txn_ops, next.value_bytes, next.write_rps), (12, 32 * 1024, 80.0));
+}
+
+#[test]
+fn what_is_out_of_range_is_refused_by_name() {
+    for (next, field) in [
+        (json!({"write_rps": 0.0}), "params.state.next.write_rps"),
+        (json!({"value_kb": -1.0}), "params.state.next.value_kb"),
+        (json!({"value_kb": 1.0}), "params.state.next.value_kb"),
+        (json!({"txn_ops": 3}), "params.state.next.txn_ops"),
+        (json!({"txn_ops": 4.5}), "deploy.json"),
+        (json!(7), "deploy.json"),
+    ] {
+        let error = parse(next.clone()).unwrap_err();
+        assert!(error.starts_with(field) && !error.contains('\n'), "{next}: {error}");
+    }
+}
