--- a/src/coordination/draft/shrink.rs
+++ b/src/coordination/draft/shrink.rs
@@ -209,10 +209,11 @@
         let mut stamp = 2;
         let mut copied = 0;
         while too_large(&view, &key, MOST) {
-            // Whoever planned on the copy of before: a task of a machine that is copied now is cleared.
+            // Whoever planned on the copy of before, on the word of another slice's owner: a task of a
+            // machine that is copied now is cleared.
             let (m, record) = view.groups[0][&0].value.machines.last_key_value().unwrap();
             let mut late = Draft::new(&view, limits(16 * 1_024));
-            assert!(late.clear(*m, record.tasks[0].attempt(), super::super::Outcome::Again, 0));
+            assert!(late.clear(*m, record.tasks[0].attempt(), super::super::Outcome::Again, 7));
             let late = late.commit();
             let commit = step(&view, &key, MOST).expect("a step");
             let again = step(&view, &key, MOST).expect("a step");
