Tidying: no full sizes worked out while no record is too large; one place asks for the terser forms

Every ordinary round worked out how large full machines become, from all jobs, although nothing was to be brought down. Behaviour is the same.

--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -12,7 +12,8 @@
 use super::job::{FinalRecord, JobRecord, JobSpec, Urgency};
 use super::pipeline::{Graph, Stage};
 use super::records::{
-    Booking, FIRST_LAYOUT, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord, OwnRecord, UsageRecord,
+    Booking, FIRST_LAYOUT, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord, OwnRecord, TERSE,
+    UsageRecord,
 };
 use super::time::Micros;
 use std::collections::{BTreeMap, HashMap};
@@ -257,6 +258,11 @@
         self.meta.value.as_ref().map_or(FIRST_LAYOUT, |m| m.layout)
     }
 
+    /// Whether every controller understands the terser written forms.
+    pub fn terse(&self) -> bool {
+        self.layout() >= TERSE
+    }
+
     /// The kept records are of a layout that is not understood, at most this one, and must not be touched.
     pub fn foreign(&self, understood: u32) -> bool {
         !(FIRST_LAYOUT..=understood).contains(&self.layout())
--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -6,7 +6,7 @@
 use crate::bookkeeping::finished::{CHUNK, Finished};
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Part, Slice};
 use crate::bookkeeping::job::{FinalRecord, JobRecord};
-use crate::bookkeeping::records::{Booking, Fitness, GroupRecord, Key, MachineRecord, OwnRecord, TERSE, UsageRecord};
+use crate::bookkeeping::records::{Booking, Fitness, GroupRecord, Key, MachineRecord, OwnRecord, UsageRecord};
 use crate::bookkeeping::view::{Change, Content, Job, View};
 use crate::protocol::state::{Put, Txn, encode};
 use std::collections::{BTreeMap, BTreeSet};
@@ -140,7 +140,7 @@
             removed_chunks: BTreeSet::new(),
             conditions: BTreeSet::new(),
             bytes: 0,
-            terse: view.layout() >= TERSE,
+            terse: view.terse(),
             raise: None,
         }
     }
@@ -690,7 +690,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::bookkeeping::records::{FIRST_LAYOUT, MetaRecord};
+    use crate::bookkeeping::records::{FIRST_LAYOUT, MetaRecord, TERSE};
     use crate::bookkeeping::view::Touched;
 
     pub(super) fn machine() -> MachineRecord {
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -11,7 +11,7 @@
 use crate::bookkeeping::job::{FinalRecord, JobSpec, Urgency};
 use crate::bookkeeping::pipeline::expected_run;
 use crate::bookkeeping::placement::{Ask, Claim, Groups, Running, Slot, plan, preempt};
-use crate::bookkeeping::records::{Fitness, GroupRecord, Key, MachineRecord, TERSE};
+use crate::bookkeeping::records::{Fitness, GroupRecord, Key, MachineRecord};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Job, Touched, View};
 use crate::protocol::settings::ObjectiveKind;
@@ -260,7 +260,7 @@
             conditions: ops * 4,
             value_bytes: self.limits.value_bytes(),
             taken_bytes: self.limits.taken_bytes(),
-            large_grow: self.view.layout() < TERSE,
+            large_grow: !self.view.terse(),
             part_bytes: self.part_bytes(),
         };
         self.rounds.next = now + Micros::millis(self.op.round_ms);
@@ -318,7 +318,7 @@
     fn full_bytes(&self, build: &str) -> usize {
         let room = self.view.machine_type(build).map(|t| t.room).unwrap_or_default();
         let tasks = self.view.jobs.values().map(|j| j.spec().need.times_in(&room, 1_000)).max();
-        GroupRecord::usual_bytes(tasks.unwrap_or(0).max(1), self.view.layout() >= TERSE)
+        GroupRecord::usual_bytes(tasks.unwrap_or(0).max(1), self.view.terse())
     }
 
     fn draft_round(&mut self, limits: Limits, lean_only: bool) -> Option<Drafted> {
@@ -426,7 +426,7 @@
     /// Looks for own records that are larger than they will be allowed to be. Once all controllers have
     /// this version none is written any more, so that is done when that is so, and after takeovers.
     pub(super) fn find_large(&mut self) {
-        if self.view.layout() < TERSE {
+        if !self.view.terse() {
             return;
         }
         let most = self.limits.value_bytes();
@@ -449,6 +449,9 @@
         let view = &self.view;
         let owned = |key: &Key| matches!(key, Key::Group(k, _) | Key::Usage(k) if self.ownership.tenure(*k).is_some());
         self.rounds.large.retain(|key| owned(key) && too_large(view, key, limits.value_bytes));
+        if self.rounds.large.is_empty() {
+            return None;
+        }
         let full = self.full_sizes();
         let full = |build: &str| full.get(build).copied().unwrap_or(0);
         let me = self.me();
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -6,7 +6,7 @@
 use super::{CallId, Controller, Effect, Purpose};
 use crate::bookkeeping::ids::JobId;
 use crate::bookkeeping::job::{FinalRecord, JobRecord, JobSpec};
-use crate::bookkeeping::records::{Key, TERSE};
+use crate::bookkeeping::records::Key;
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Change, Content, Touched};
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
@@ -366,7 +366,7 @@
             let Wish::Submit(spec) = &w.wish else {
                 continue;
             };
-            let value = encode(&self.new_record(spec, w.day).terse(self.view.layout() >= TERSE));
+            let value = encode(&self.new_record(spec, w.day).terse(self.view.terse()));
             // Room for a full bitmap and the machines to avoid must be left.
             let size = value.as_ref().map_or(0, |v| v.get().len());
             let spare = 1_600.min(spec.pieces as usize / 4 + 200);
@@ -442,7 +442,7 @@
         let Some(job) = self.view.jobs.get(&w.id) else {
             return self.await_read(w);
         };
-        let record = JobRecord { cancelled: true, ..job.record.clone().terse(self.view.layout() >= TERSE) };
+        let record = JobRecord { cancelled: true, ..job.record.clone().terse(self.view.terse()) };
         let txn = Txn {
             when: vec![(Key::Job(w.id), job.stamp)],
             then: vec![Put { key: Key::Job(w.id), value: encode(&record), permit: None }],
