--- /dev/null
+++ b/src/bookkeeping/admission.rs
@@ -0,0 +1,423 @@
+//! What rules say to machines, for each job that some rule concerns.
+//!
+//! Rules are reduced once for each class of equal machines; what is left then asks about the present, and
+//! is judged machine by machine: images held, and tasks of other jobs beside. The latter holds in both
+//! directions. Nothing here is kept anywhere: it all follows from the rules and the records.
+
+use super::catalog::Catalog;
+use super::classes::{Class, ClassId, Classes};
+use super::ids::{JobId, MachineId};
+use super::job::JobSpec;
+use super::time::Micros;
+use super::view::Job;
+use cometlead_constraints::clash::{RuleMask, smallest};
+use cometlead_constraints::expr::{Field, Words};
+use cometlead_constraints::judge::Empty;
+use cometlead_constraints::{Dimension, Expr, Judged, Kind, Now, Quantity, Rule, RuleSet, Subject, Traits, Value};
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// Traits of a class, under each set of rules in force; none if its type is not in the catalogue.
+pub type ClassTraits = Option<Vec<Traits>>;
+
+/// The traits that a machine has by its type, zone and kind.
+fn built_in(catalog: &Catalog, build: &str, yard: &str, spot: bool) -> Option<Traits> {
+    let t = catalog.get(build)?;
+    let number = |n: u64, d: Dimension| Value::Number(Quantity::thousandths(n, d));
+    let traits = [
+        ("type", Value::Word(build.to_owned())),
+        ("zone", Value::Word(yard.to_owned())),
+        ("spot", Value::Flag(spot)),
+        ("cores", number(t.room.cores, Dimension::Plain)),
+        ("accelerators", number(t.room.accelerators, Dimension::Plain)),
+        ("memory", number(t.room.memory, Dimension::Size)),
+        ("cache", number(t.cache, Dimension::Size)),
+        ("fetch", number(t.fetch, Dimension::Rate)),
+        ("price", number(t.price_of(spot), Dimension::Plain)),
+        ("boot", number(t.boot.0 / 1_000, Dimension::Time)),
+    ];
+    Some(traits.map(|(name, value)| (name.to_owned(), value)).into())
+}
+
+/// Traits of machines of a class, under each set of rules in force, or under none.
+pub fn traits(class: &Class, sets: &[Arc<RuleSet>], catalog: &Catalog) -> ClassTraits {
+    let plain = built_in(catalog, &class.build, &class.yard, class.spot)?;
+    let machine = class.machine.map(|m| m.to_string());
+    let under = |set: &Arc<RuleSet>| {
+        let mut traits = plain.clone();
+        set.label(&mut traits, &class.build, &class.yard, machine.as_deref());
+        traits
+    };
+    Some(if sets.is_empty() { vec![plain] } else { sets.iter().map(under).collect() })
+}
+
+/// Machines that any set names in its labels.
+pub fn labelled(sets: &[Arc<RuleSet>]) -> BTreeSet<MachineId> {
+    sets.iter().flat_map(|s| s.file.labels.machines.keys()).filter_map(|m| m.parse().ok()).collect()
+}
+
+/// A job, as rules tell jobs apart.
+pub fn subject(spec: &JobSpec) -> Subject<'_> {
+    Subject { lane: &spec.lane, crew: &spec.crew, image: &spec.bundle, urgency: spec.urgency.name() }
+}
+
+fn both(a: Judged, b: Judged) -> Judged {
+    match (a, b) {
+        (Judged::No, _) | (_, Judged::No) => Judged::No,
+        (Judged::Yes, other) | (other, Judged::Yes) => other,
+        (Judged::Open(a), Judged::Open(b)) if a == b => Judged::Open(a),
+        (Judged::Open(a), Judged::Open(b)) => Judged::Open(Expr::And(vec![a, b])),
+    }
+}
+
+/// A hard rule.
+#[derive(Clone, Debug)]
+struct Hard {
+    name: String,
+    /// What it asks about jobs beside, if it does.
+    beside: Vec<(Field, Words)>,
+    /// By class.
+    judged: Vec<Judged>,
+}
+
+/// A preference.
+#[derive(Clone, Debug)]
+pub struct Soft {
+    /// Its name.
+    pub name: String,
+    /// How much it counts.
+    pub weight: u32,
+    /// How long it is worth waiting for.
+    pub wait: Micros,
+    judged: Vec<Judged>,
+}
+
+/// Preferences, as bits by their place in [`Admission::soft`].
+pub type Insisted = u64;
+
+/// What the rules that concern a job say to each class of machines.
+#[derive(Clone, Debug, Default)]
+pub struct Admission {
+    hard: Vec<Hard>,
+    /// All hard rules together, by class.
+    together: Vec<Judged>,
+    /// Preferences, the weightiest first, then by name: the same order on every controller.
+    pub soft: Vec<Soft>,
+    /// No machine that is up may run it now.
+    pub barred: bool,
+    /// Why it waits, if that is for its rules.
+    pub reason: Option<Arc<str>>,
+}
+
+/// Rules that concern a job, each with the sets under which it holds.
+fn concerning<'a>(spec: &'a JobSpec, sets: &'a [Arc<RuleSet>]) -> Vec<(&'a Rule, std::ops::Range<usize>)> {
+    let job = subject(spec);
+    let own = spec.rules.iter().map(|r| (r, 0..sets.len().max(1)));
+    let of_sets = sets.iter().enumerate().flat_map(|(i, set)| set.rules.iter().map(move |r| (r, i..i + 1)));
+    own.chain(of_sets.filter(|(r, _)| r.concerns(&job))).collect()
+}
+
+/// Whether any hard rule concerns a job.
+pub fn has_hard(spec: &JobSpec, sets: &[Arc<RuleSet>]) -> bool {
+    concerning(spec, sets).iter().any(|(r, _)| r.is_hard())
+}
+
+impl Admission {
+    /// What rules say for a job; `None` if none concerns it. Of several sets in force, the last one's
+    /// preferences count; hard rules hold of all. `classes`: the traits of every class.
+    pub fn of(spec: &JobSpec, sets: &[Arc<RuleSet>], classes: &[ClassTraits]) -> Option<Admission> {
+        let rules = concerning(spec, sets);
+        if rules.is_empty() {
+            return None;
+        }
+        let last = sets.len().max(1) - 1;
+        let mut all = Admission { together: vec![Judged::Yes; classes.len()], ..Admission::default() };
+        for (rule, under) in rules {
+            let under = if rule.is_hard() { under } else { under.start.max(last)..under.end };
+            if under.is_empty() {
+                continue;
+            }
+            let judge = |traits: &ClassTraits| match traits {
+                None => Judged::No,
+                Some(t) => t[under.clone()].iter().map(|t| rule.expr.reduce(t)).fold(Judged::Yes, both),
+            };
+            let judged: Vec<Judged> = classes.iter().map(judge).collect();
+            match rule.kind {
+                Kind::Require => {
+                    for (t, j) in all.together.iter_mut().zip(&judged) {
+                        *t = both(std::mem::replace(t, Judged::Yes), j.clone());
+                    }
+                    let mut beside = Vec::new();
+                    rule.expr.tests(&mut |t| {
+                        if let Expr::Beside(field, words) = t {
+                            beside.push((*field, words.clone()));
+                        }
+                    });
+                    all.hard.push(Hard { name: rule.name.clone(), beside, judged });
+                }
+                Kind::Prefer { weight, wait } => {
+                    all.soft.push(Soft { name: rule.name.clone(), weight, wait: Micros(wait), judged });
+                }
+            }
+        }
+        all.soft.sort_by(|a, b| b.weight.cmp(&a.weight).then_with(|| a.name.cmp(&b.name)));
+        all.soft.truncate(Insisted::BITS as usize);
+        Some(all)
+    }
+
+    /// Whether a machine of the class may run it, as far as the class tells. `insisted`: preferences that
+    /// are waited for.
+    pub fn may(&self, class: ClassId, insisted: Insisted) -> bool {
+        let no = |judged: &[Judged]| judged.get(class).is_none_or(|j| *j == Judged::No);
+        !no(&self.together) && !self.insisted(insisted).any(|s| no(&s.judged))
+    }
+
+    /// Whether a machine of the class that has just come up may run it.
+    pub fn may_fresh(&self, class: ClassId, insisted: Insisted) -> bool {
+        self.holds(class, insisted, &Empty)
+    }
+
+    fn insisted(&self, insisted: Insisted) -> impl Iterator<Item = &Soft> {
+        self.soft.iter().enumerate().filter(move |(i, _)| insisted >> i & 1 == 1).map(|(_, s)| s)
+    }
+
+    fn holds(&self, class: ClassId, insisted: Insisted, now: &dyn Now) -> bool {
+        let holds = |judged: &[Judged]| judged.get(class).is_some_and(|j| j.holds(now));
+        holds(&self.together) && self.insisted(insisted).all(|s| holds(&s.judged))
+    }
+
+    /// The weights of the preferences that a machine that has just come up would meet, added up.
+    pub fn fresh_worth(&self, class: ClassId) -> u32 {
+        self.worth(class, &Empty)
+    }
+
+    fn worth(&self, class: ClassId, now: &dyn Now) -> u32 {
+        let met = self.soft.iter().filter(|s| s.judged.get(class).is_some_and(|j| j.holds(now)));
+        met.map(|s| s.weight).sum()
+    }
+
+    /// Whether a class leaves something to be judged machine by machine.
+    pub fn is_open_on(&self, class: ClassId) -> bool {
+        matches!(self.together.get(class), Some(Judged::Open(_)))
+    }
+
+    /// Whether a hard rule asks which jobs are beside.
+    pub fn asks_beside(&self) -> bool {
+        self.hard.iter().any(|h| !h.beside.is_empty())
+    }
+
+    /// Whether some preference is worth waiting for.
+    pub fn waits(&self) -> bool {
+        self.soft.iter().any(|s| s.wait > Micros::ZERO)
+    }
+
+    /// The preferences that are still waited for: from the weightiest on, each that some machine could meet
+    /// together with the rules and those before it. `waits`: whether one with this wait is still worth it.
+    pub fn insists(&self, possible: &[ClassId], waits: &dyn Fn(Micros) -> bool) -> Insisted {
+        let mut insisted = 0;
+        for (i, s) in self.soft.iter().enumerate() {
+            let with = insisted | 1 << i;
+            if s.wait > Micros::ZERO && waits(s.wait) && possible.iter().any(|c| self.may(*c, with)) {
+                insisted = with;
+            }
+        }
+        insisted
+    }
+
+    /// The hard rules that a class does not meet, as bits from `first` on.
+    fn failing(&self, class: ClassId, first: usize) -> RuleMask {
+        let fails = |h: &Hard| h.judged.get(class).is_none_or(|j| *j == Judged::No);
+        mask(self.hard.iter().map(fails), first)
+    }
+
+    fn names(&self, clash: RuleMask, first: usize) -> Vec<&str> {
+        let mut names: Vec<&str> = Vec::new();
+        for (i, name) in FIELDS.iter().copied().take(first).chain(self.hard.iter().map(|h| h.name.as_str())).enumerate()
+        {
+            // Two versions of a rule that hold for a while have one name.
+            if clash >> i & 1 == 1 && !names.contains(&name) {
+                names.push(name);
+            }
+        }
+        names
+    }
+}
+
+fn mask(bits: impl Iterator<Item = bool>, first: usize) -> RuleMask {
+    bits.take(RuleMask::BITS as usize - first).enumerate().fold(0, |m, (i, b)| m | RuleMask::from(b) << (i + first))
+}
+
+/// What a submission itself says of where it may run, as clashes name it.
+const FIELDS: [&str; 4] =
+    ["submission: builds", "submission: yard", "submission: loaners", "submission: size of a task"];
+
+/// What of a submission itself rules out a class.
+fn fields_failing(spec: &JobSpec, class: &Class, catalog: &Catalog) -> RuleMask {
+    let fails = [
+        spec.builds.as_ref().is_some_and(|b| !b.iter().any(|n| **n == *class.build)),
+        spec.yard.as_ref().is_some_and(|y| **y != *class.yard),
+        class.spot && !spec.loaners,
+        catalog.get(&class.build).is_none_or(|t| !spec.need.fits(&t.room)),
+    ];
+    mask(fails.into_iter(), 0)
+}
+
+/// The smallest set of rules that keeps a job from every machine that is up or could be, by their names;
+/// `None` if some machine could run it.
+pub fn clash(
+    spec: &JobSpec,
+    admission: &Admission,
+    sets: &[Arc<RuleSet>],
+    classes: &Classes,
+    catalog: &Catalog,
+) -> Option<Vec<String>> {
+    let first = FIELDS.len();
+    let mut places: Vec<RuleMask> = Vec::new();
+    for (n, class) in classes.all().iter().enumerate().filter(|(n, _)| classes.possible(*n)) {
+        let fails = fields_failing(spec, class, catalog) | admission.failing(n, first);
+        if fails == 0 {
+            return None;
+        }
+        places.push(fails);
+    }
+    // A machine that has labels of its own may come up yet, as any type that is offered.
+    let mut tables = Vec::new();
+    for m in classes.unseen() {
+        let name = m.to_string();
+        let table: Vec<_> = sets.iter().map(|s| s.file.labels.machines.get(&name)).collect();
+        if tables.contains(&table) {
+            continue;
+        }
+        tables.push(table);
+        let offered = classes.all().iter().enumerate().filter(|(n, c)| classes.possible(*n) && c.machine.is_none());
+        for (_, class) in offered {
+            let class = Class { machine: Some(m), ..class.clone() };
+            let judged = Admission::of(spec, sets, &[traits(&class, sets, catalog)]);
+            let fails = fields_failing(spec, &class, catalog) | judged.map_or(0, |a| a.failing(0, first));
+            if fails == 0 {
+                return None;
+            }
+            places.push(fails);
+        }
+    }
+    let clash = smallest(&places)?;
+    Some(admission.names(clash, first).into_iter().map(str::to_owned).collect())
+}
+
+/// Everything that is judged machine by machine.
+#[derive(Clone, Copy, Debug)]
+pub struct House<'a> {
+    /// Live jobs.
+    pub jobs: &'a HashMap<JobId, Job>,
+    /// Those that some rule concerns.
+    pub admissions: &'a HashMap<JobId, Admission>,
+    /// Whether any rule asks what is beside.
+    pub beside: bool,
+}
+
+/// A machine, as far as rules ask what is on it now.
+#[derive(Clone, Copy, Debug)]
+pub struct Site<'a> {
+    /// Its class.
+    pub class: ClassId,
+    /// Images that it has or is fetching.
+    pub images: &'a [(Arc<str>, u64)],
+    /// One more that it is to fetch.
+    pub fetches: Option<&'a str>,
+    /// Jobs that have tasks there.
+    pub there: &'a [JobId],
+}
+
+/// What a job finds on a machine.
+struct Found<'a> {
+    house: &'a House<'a>,
+    site: Site<'a>,
+    job: JobId,
+    image: &'a str,
+    /// One more job that is to come there.
+    comes: Option<(JobId, &'a JobSpec)>,
+}
+
+fn is_of(spec: &JobSpec, id: JobId, field: Field, words: &Words) -> bool {
+    match field {
+        Field::Lane => words.contains(&spec.lane),
+        Field::Crew => words.contains(&spec.crew),
+        Field::Image => words.contains(&spec.bundle),
+        Field::Urgency => words.contains(spec.urgency.name()),
+        Field::Job => words.contains(&id.to_string()),
+    }
+}
+
+impl Found<'_> {
+    fn has(&self, image: &str) -> bool {
+        self.site.fetches == Some(image) || self.site.images.iter().any(|(n, _)| **n == *image)
+    }
+}
+
+impl Now for Found<'_> {
+    fn holds_own(&self) -> bool {
+        self.has(self.image)
+    }
+
+    fn holds(&self, images: &Words) -> bool {
+        images.iter().any(|i| self.has(i))
+    }
+
+    fn beside(&self, field: Field, words: &Words) -> bool {
+        let there = self.site.there.iter().filter(|j| **j != self.job);
+        let known = there.filter_map(|j| Some((*j, self.house.jobs.get(j)?.spec())));
+        known.chain(self.comes).any(|(id, spec)| is_of(spec, id, field, words))
+    }
+}
+
+impl House<'_> {
+    /// Whether rules let a task of a job on a machine: its own, and those of the jobs that are there.
+    pub fn admits(
+        &self,
+        (job, spec): (JobId, &JobSpec),
+        admission: Option<&Admission>,
+        insisted: Insisted,
+        site: Site<'_>,
+    ) -> bool {
+        let found = Found { house: self, site, job, image: &spec.bundle, comes: None };
+        admission.is_none_or(|a| a.holds(site.class, insisted, &found))
+            && (!self.beside || site.there.iter().all(|other| *other == job || self.bears(*other, (job, spec), site)))
+    }
+
+    /// Whether the rules of a job that has tasks on a machine let another job come there.
+    fn bears(&self, there: JobId, comes: (JobId, &JobSpec), site: Site<'_>) -> bool {
+        let Some(admission) = self.admissions.get(&there) else { return true };
+        let image = self.jobs.get(&there).map_or("", |j| &j.spec().bundle);
+        let found = Found { house: self, site, job: there, image, comes: Some(comes) };
+        admission.hard.iter().all(|h| {
+            let concerned = h.beside.iter().any(|(field, words)| is_of(comes.1, comes.0, *field, words));
+            !concerned || h.judged.get(site.class).is_some_and(|j| j.holds(&found))
+        })
+    }
+
+    /// The weights of the preferences that a machine meets, added up.
+    pub fn worth(&self, (job, spec): (JobId, &JobSpec), admission: Option<&Admission>, site: Site<'_>) -> u32 {
+        let found = Found { house: self, site, job, image: &spec.bundle, comes: None };
+        admission.map_or(0, |a| a.worth(site.class, &found))
+    }
+
+    /// The hard rules that a machine does not meet now, as bits.
+    fn failing_now(&self, (job, spec): (JobId, &JobSpec), admission: &Admission, site: Site<'_>) -> RuleMask {
+        let found = Found { house: self, site, job, image: &spec.bundle, comes: None };
+        mask(admission.hard.iter().map(|h| !h.judged.get(site.class).is_some_and(|j| j.holds(&found))), 0)
+    }
+
+    /// The smallest set of a job's hard rules that keeps it from every one of these machines, by name; `None`
+    /// if some machine meets all of them. What keeps it away may also be a rule of a job that is there: such
+    /// a machine is left out.
+    pub fn kept_from<'s>(
+        &self,
+        job: (JobId, &JobSpec),
+        admission: &Admission,
+        sites: impl Iterator<Item = Site<'s>>,
+    ) -> Option<Vec<String>> {
+        let places: Vec<RuleMask> = sites.map(|s| self.failing_now(job, admission, s)).collect();
+        let clash = smallest(&places)?;
+        Some(admission.names(clash, 0).into_iter().map(str::to_owned).collect())
+    }
+}
--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -2,11 +2,23 @@
 
 use super::amount::Amount;
 use super::catalog::{Catalog, MachineType};
+use super::classes::ClassId;
+use super::ids::MachineId;
 use super::job::JobSpec;
 use super::time::Micros;
+use std::cmp::Reverse;
+
+/// What rules make of machines, for one job.
+pub trait Places {
+    /// Whether machines of a class may run it, as far as the class tells.
+    fn class(&self, class: ClassId) -> bool;
+    /// Whether a machine may run it as it is now; one that is still to come up is nobody yet.
+    fn machine(&self, class: ClassId, machine: Option<MachineId>) -> bool;
+    /// What preferences make of a machine that is hired for it; `None` if it may not run it.
+    fn offer(&self, build: &str, yard: &str, spot: bool) -> Option<u32>;
+}
 
 /// Tasks of one job that have no place.
-#[derive(Clone, Debug)]
 pub struct Demand<'a> {
     /// What was asked for.
     pub spec: &'a JobSpec,
@@ -18,6 +30,24 @@
     pub run: Micros,
     /// Most that a core of a machine may cost, see [`price_limit`].
     pub price_limit: u64,
+    /// What rules say, if any concern it.
+    pub places: Option<Box<dyn Places + 'a>>,
+}
+
+impl Demand<'_> {
+    /// Whether the machines of a pool may run it.
+    fn takes(&self, p: &Pool<'_>) -> bool {
+        self.spec.allows(p.build, p.yard, p.spot)
+            && self.places.as_ref().is_none_or(|r| p.class.is_some_and(|c| r.class(c)))
+    }
+
+    /// What a machine hired for it would be worth to its preferences; `None` if it may not run it.
+    fn worth(&self, build: &str, yard: &str, spot: bool) -> Option<u32> {
+        if !self.spec.allows(build, yard, spot) {
+            return None;
+        }
+        self.places.as_ref().map_or(Some(0), |r| r.offer(build, yard, spot))
+    }
 }
 
 /// Machines of one type, zone and kind that are up, or are expected to be.
@@ -37,8 +67,10 @@
     pub count: u64,
     /// Core time that what is booked on them still takes, in thousandths of a core times microseconds.
     pub work: u128,
-    /// Room left on those that have some.
-    pub free: Vec<Amount>,
+    /// Room left on those that have some, and which of them that is, if it is up.
+    pub free: Vec<(Amount, Option<MachineId>)>,
+    /// Their class, where rules ask for it.
+    pub class: Option<ClassId>,
 }
 
 /// All machines.
@@ -51,23 +83,25 @@
         &mut self,
         (build, yard, spot): (&'a str, &'a str, bool),
         catalog: &Catalog,
+        class: Option<ClassId>,
         count: u64,
-        free: Option<Amount>,
+        free: Option<(Amount, Option<MachineId>)>,
         work: u128,
     ) {
-        let at = self.0.iter().position(|p| p.spot == spot && p.build == build && p.yard == yard);
+        let same = |p: &Pool<'_>| p.spot == spot && p.build == build && p.yard == yard && p.class == class;
+        let at = self.0.iter().position(same);
         let at = at.unwrap_or_else(|| {
             let kind = catalog.get(build);
             let all = kind.map_or(Amount::default(), |t| t.room);
             let price = kind.map_or(0, |t| core_price(t, spot));
-            self.0.push(Pool { build, yard, spot, all, price, count: 0, work: 0, free: Vec::new() });
+            self.0.push(Pool { build, yard, spot, all, price, count: 0, work: 0, free: Vec::new(), class });
             self.0.len() - 1
         });
         let pool = &mut self.0[at];
         pool.count += count;
         pool.work += work * u128::from(count);
-        let free = free.unwrap_or(pool.all);
-        if free.cores > 0 {
+        let free = free.unwrap_or((pool.all, None));
+        if free.0.cores > 0 {
             pool.free.extend((0..count).map(|_| free));
         }
     }
@@ -75,17 +109,23 @@
 
 impl Pool<'_> {
     /// Takes room for up to `left` tasks; how many found none.
-    fn take(&mut self, need: &Amount, mut left: u64, task_work: u128) -> u64 {
-        for free in &mut self.free {
+    fn take(&mut self, d: &Demand<'_>, mut left: u64, task_work: u128) -> u64 {
+        let need = &d.spec.need;
+        for (free, machine) in &mut self.free {
             if left == 0 {
                 break;
             }
+            if let (Some(places), Some(class)) = (&d.places, self.class)
+                && !places.machine(class, *machine)
+            {
+                continue;
+            }
             let n = need.times_in(free, left);
             *free -= need.times(n);
             self.work += task_work * u128::from(n);
             left -= n;
         }
-        self.free.retain(|f| f.cores > 0);
+        self.free.retain(|(f, _)| f.cores > 0);
         left
     }
 }
@@ -107,20 +147,23 @@
 }
 
 /// Most that a core may cost for work that has time: half as much again as the cheapest that the
-/// job may use. What is dearer is for work that would otherwise be late.
-pub fn price_limit(catalog: &Catalog, spec: &JobSpec) -> u64 {
-    let allowed = |t: &MachineType, spot: bool| t.zones.iter().any(|z| spec.allows(&t.name, z, spot));
+/// job may use. What is dearer is for work that would otherwise be late. `allows`: whether it may use
+/// machines of a type, zone and kind.
+pub fn price_limit(catalog: &Catalog, spec: &JobSpec, allows: &dyn Fn(&str, &str, bool) -> bool) -> u64 {
+    let allowed = |t: &MachineType, spot: bool| t.zones.iter().any(|z| allows(&t.name, z, spot));
     let fitting = catalog.types.iter().filter(|t| spec.need.fits(&t.room));
     let prices = fitting.flat_map(|t| [true, false].map(|spot| allowed(t, spot).then(|| core_price(t, spot))));
     prices.flatten().min().map_or(u64::MAX, |least| least.saturating_mul(3) / 2)
 }
 
-/// Machines to hire, with how many of each. `offered`: whether an offer is worth asking for.
+/// Machines to hire, with how many of each. `offered`: whether an offer is worth asking for. `class_of`: the
+/// class of its machines, where rules ask for it.
 pub fn plan<'a>(
     catalog: &'a Catalog,
     demands: &[Demand<'_>],
     pools: &mut Pools<'a>,
     offered: &dyn Fn(&Offer) -> bool,
+    class_of: &dyn Fn(&Offer) -> Option<ClassId>,
 ) -> Vec<(Offer, u32)> {
     /// Most machines asked for at once.
     const MOST: u32 = 400;
@@ -135,8 +178,8 @@
         let mut late = false;
         let take = |pools: &mut Pools<'_>, mut left: u64, dear: bool| {
             for p in &mut pools.0 {
-                if left > 0 && (p.price > d.price_limit) == dear && d.spec.allows(p.build, p.yard, p.spot) {
-                    left = p.take(need, left, task_work);
+                if left > 0 && (p.price > d.price_limit) == dear && d.takes(p) {
+                    left = p.take(d, left, task_work);
                 }
             }
             left
@@ -146,7 +189,7 @@
             // How long until the machines that could run these tasks have run off what is ahead.
             let (mut cores, mut ahead) = (0, waiting + task_work * u128::from(left));
             for p in &pools.0 {
-                if (late || p.price <= d.price_limit) && d.spec.allows(p.build, p.yard, p.spot) {
+                if (late || p.price <= d.price_limit) && d.takes(p) {
                     let usable = need.times_in(&p.all, u64::from(u32::MAX)) * need.cores;
                     if usable > 0 {
                         cores += u128::from(usable * p.count);
@@ -167,7 +210,9 @@
             let zone = t.zones.iter().find(|z| **z == offer.yard).map_or("", |z| z.as_str());
             let n = need.times_in(&t.room, left);
             let free = t.room - need.times(n);
-            pools.add((&t.name, zone, offer.spot), catalog, 1, Some(free), task_work * u128::from(n));
+            let class = class_of(&offer);
+            let kind = (t.name.as_str(), zone, offer.spot);
+            pools.add(kind, catalog, class, 1, Some((free, None)), task_work * u128::from(n));
             left -= n;
             hired += 1;
             match hires.iter_mut().find(|(o, _)| *o == offer) {
@@ -198,6 +243,9 @@
     }
 }
 
+/// Price per task, and what preferences make of it.
+type Cost = (u128, Reverse<u32>);
+
 /// The cheapest offer for work like this that is worth it, by price per task with boot, fetch and
 /// shortest charge.
 fn cheapest<'a>(
@@ -207,8 +255,8 @@
     backlog: Backlog,
     offered: &dyn Fn(&Offer) -> bool,
 ) -> Option<(&'a MachineType, Offer)> {
-    let dear = price_limit(catalog, d.spec);
-    let mut best: Option<(u128, &MachineType, Offer)> = None;
+    let dear = price_limit(catalog, d.spec, &|build, yard, spot| d.worth(build, yard, spot).is_some());
+    let mut best: Option<(Cost, &MachineType, Offer)> = None;
     for t in &catalog.types {
         let per_machine = d.spec.need.times_in(&t.room, left);
         if per_machine == 0 {
@@ -225,12 +273,14 @@
                 // only if it does not take longer to come up than it works.
                 let late = backlog.drained() > d.slack && comes_up < d.slack && comes_up <= d.run;
                 let worth = useful && (late || backlog.cores == 0 || core_price(t, spot) <= dear);
-                if !worth || !d.spec.allows(&t.name, zone, spot) || !offered(&offer) {
+                let Some(liked) = d.worth(&t.name, zone, spot).filter(|_| worth && offered(&offer)) else {
                     continue;
-                }
+                };
                 let busy = d.run.max(Micros::secs(10)) + t.fetch_time(d.spec.size);
                 let charged = (t.boot + busy * 2).max(Micros::secs(60));
                 let cost = u128::from(t.price_of(spot)) * u128::from(charged.0) / u128::from(per_machine);
+                // What costs the same goes by preference.
+                let cost = (cost, Reverse(liked));
                 if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                     best = Some((cost, t, offer));
                 }
--- a/src/bookkeeping/job.rs
+++ b/src/bookkeeping/job.rs
@@ -5,6 +5,7 @@
 use super::finished::{CHUNK, Finished};
 use super::ids::{JobId, MachineId};
 use super::time::Micros;
+use cometlead_constraints::Rule;
 use serde::{Deserialize, Serialize};
 
 /// How urgent a job is, most urgent first.
@@ -24,6 +25,18 @@
     Low,
 }
 
+impl Urgency {
+    /// How it is written in submissions and rules.
+    pub fn name(self) -> &'static str {
+        match self {
+            Urgency::Critical => "critical",
+            Urgency::High => "high",
+            Urgency::Standard => "standard",
+            Urgency::Low => "low",
+        }
+    }
+}
+
 /// What a user asked for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -84,6 +97,10 @@
     /// Jobs that must be done before any of its tasks starts, in order and each once.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub awaits: Vec<JobId>,
+    /// Rules of its own for where it runs. Only written once every controller understands
+    /// [`super::records::RULED`].
+    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
+    pub rules: Vec<Rule>,
 }
 
 pub(crate) fn is_false(b: &bool) -> bool {
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -1,8 +1,10 @@
 //! Records, the private copy of the cluster's state, and the pure planners.
 
+pub mod admission;
 pub mod amount;
 pub mod boots;
 pub mod catalog;
+pub mod classes;
 pub mod finished;
 pub mod fleet;
 pub mod group;
--- a/src/bookkeeping/placement.rs
+++ b/src/bookkeeping/placement.rs
@@ -1,6 +1,8 @@
 //! Where tasks go: a pure plan on a set of machines.
 
+use super::admission::{Admission, House, Insisted, Site};
 use super::amount::Amount;
+use super::classes::ClassId;
 use super::ids::{JobId, MachineId};
 use super::job::{JobSpec, Urgency};
 use super::records::Booking;
@@ -37,9 +39,17 @@
     pub fetches: Option<&'a str>,
     /// What could be stopped there, the latest started last.
     pub running: Vec<Running>,
+    /// Its class, where rules ask for it.
+    pub class: ClassId,
+    /// Jobs that have tasks there, where rules ask for them.
+    pub there: Vec<JobId>,
 }
 
 impl Slot<'_> {
+    fn site(&self) -> Site<'_> {
+        Site { class: self.class, images: self.images, fetches: self.fetches, there: &self.there }
+    }
+
     fn has_image(&self, name: &str) -> bool {
         self.fetches == Some(name) || self.images.iter().any(|(n, _)| **n == *name)
     }
@@ -116,11 +126,41 @@
     pub whole: bool,
     /// Machines to leave to others if any other will do.
     pub avoid: &'a [MachineId],
+    /// The rules that have a say.
+    pub rules: Option<Rules<'a>>,
+}
+
+/// The rules that have a say in where tasks of a job go.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules<'a> {
+    /// What they ask about the present.
+    pub house: &'a House<'a>,
+    /// What those that concern the job say; others may concern what is on the machines.
+    pub admission: Option<&'a Admission>,
+    /// Preferences that are waited for.
+    pub insisted: Insisted,
 }
 
 impl Ask<'_> {
     fn takes(&self, s: &Slot<'_>) -> bool {
-        s.price <= self.price_limit && self.spec.allows(s.build, s.yard, s.spot)
+        s.price <= self.price_limit && self.spec.allows(s.build, s.yard, s.spot) && self.admitted(s)
+    }
+
+    /// Whether rules let it on the machine.
+    fn admitted(&self, s: &Slot<'_>) -> bool {
+        self.rules.is_none_or(|r| r.house.admits((self.job, self.spec), r.admission, r.insisted, s.site()))
+    }
+
+    /// How much its preferences make of the machine.
+    fn worth(&self, s: &Slot<'_>) -> u32 {
+        self.rules.map_or(0, |r| r.house.worth((self.job, self.spec), r.admission, s.site()))
+    }
+
+    /// Notes that tasks of it go to the machine, if rules ask.
+    fn comes_to(&self, s: &mut Slot<'_>) {
+        if self.rules.is_some_and(|r| r.house.beside) && !s.there.contains(&self.job) {
+            s.there.push(self.job);
+        }
     }
 }
 
@@ -191,6 +231,7 @@
             let slot = &mut slots[i];
             slot.free = room;
             slot.free -= ask.spec.need.times(n);
+            ask.comes_to(slot);
             let from = slot.running.len() - count;
             let victims = slot.running.drain(from..).map(|r| r.booking).collect();
             let machine = slot.machine;
@@ -240,12 +281,19 @@
             continue;
         }
         let begun = claims.len();
-        place_job(slots, &live, ask, groups, most, &mut claims);
-        let placed = claims.len() - begun;
+        // The places that a set likes best may lie in too many records; what must hold holds all the same.
+        let likes = ask.whole && ask.rules.and_then(|r| r.admission).is_some_and(|a| !a.soft.is_empty());
+        let before = likes.then(|| (groups.clone(), ask.zones.clone()));
+        place_job(slots, &live, ask, groups, most, &mut claims, true);
+        let mut placed = claims.len() - begun;
         if ask.whole && placed < ask.tasks.len() {
-            for c in claims.drain(begun..) {
-                if let Some(s) = slots.iter_mut().find(|s| s.machine == c.machine) {
-                    s.free += ask.spec.need;
+            take_back(slots, ask, &mut claims, begun);
+            if let Some(before) = before {
+                (*groups, ask.zones) = before;
+                place_job(slots, &live, ask, groups, most, &mut claims, false);
+                placed = claims.len() - begun;
+                if placed < ask.tasks.len() {
+                    take_back(slots, ask, &mut claims, begun);
                 }
             }
         }
@@ -258,6 +306,17 @@
     claims
 }
 
+/// Gives back the room of a set that could not be placed whole.
+fn take_back(slots: &mut [Slot<'_>], ask: &Ask<'_>, claims: &mut Vec<Claim>, begun: usize) {
+    for c in claims.drain(begun..) {
+        if let Some(s) = slots.iter_mut().find(|s| s.machine == c.machine) {
+            s.free += ask.spec.need;
+            // Nothing of it was booked before.
+            s.there.retain(|j| *j != ask.job);
+        }
+    }
+}
+
 fn place_job<'a>(
     slots: &mut [Slot<'a>],
     live: &[usize],
@@ -265,10 +324,11 @@
     groups: &mut Groups,
     most: usize,
     claims: &mut Vec<Claim>,
+    by_worth: bool,
 ) {
     let mut zone = ask.zones.keys().next().copied().filter(|_| ask.spec.one_zone);
     if ask.spec.one_zone && zone.is_none() {
-        zone = roomiest_zone(slots, ask.spec);
+        zone = roomiest_zone(slots, ask);
     }
     let fits = |s: &Slot<'_>| {
         ask.spec.need.fits(&s.free)
@@ -276,13 +336,24 @@
             && zone.is_none_or(|z| z == s.yard)
             && (!ask.mine || groups.may(s.group))
     };
-    // The image's machine, else the fullest that fits. Among machines alike in this, those that this
+    // What preferences make of it, then the image's machine, else the fullest that fits. Among machines alike in this, those that this
     // controller answers come first: their tasks' ends then go out with its own claims.
     let rank = |s: &Slot<'_>| {
         let avoided = ask.avoid.contains(&s.machine);
         let far = s.owner != ask.owner;
         let new = !groups.open[s.group];
-        (avoided, !s.has_image(&ask.spec.bundle), far, s.free.cores, s.free.memory, new, s.price, s.machine)
+        let worth = if by_worth { ask.worth(s) } else { 0 };
+        (
+            avoided,
+            Reverse(worth),
+            !s.has_image(&ask.spec.bundle),
+            far,
+            s.free.cores,
+            s.free.memory,
+            new,
+            s.price,
+            s.machine,
+        )
     };
     // A machine that takes a task has the image then and is fuller, so it stays the first choice
     // until it is full: one ranking serves all tasks of the job.
@@ -297,17 +368,21 @@
         if ask.mine && !groups.take(slot.group) {
             continue;
         }
+        let before = claims.len();
         let in_zone = ask.zones.entry(slot.yard).or_default();
         let limit = ask.spec.zone_limit();
         while ask.spec.need.fits(&slot.free) && *in_zone < limit && claims.len() < most {
             let Some(index) = tasks.next() else {
-                return;
+                break;
             };
             slot.free -= ask.spec.need;
             slot.fetches = Some(&ask.spec.bundle);
             *in_zone += 1;
             claims.push(Claim { job: ask.job, index: *index, machine: slot.machine });
         }
+        if claims.len() > before {
+            ask.comes_to(slot);
+        }
     }
 }
 
@@ -335,9 +410,10 @@
     }
 }
 
-fn roomiest_zone<'a>(slots: &[Slot<'a>], spec: &JobSpec) -> Option<&'a str> {
+fn roomiest_zone<'a>(slots: &[Slot<'a>], ask: &Ask<'_>) -> Option<&'a str> {
+    let spec = ask.spec;
     let mut room: BTreeMap<&str, u64> = BTreeMap::new();
-    for s in slots.iter().filter(|s| spec.allows(s.build, s.yard, s.spot)) {
+    for s in slots.iter().filter(|s| spec.allows(s.build, s.yard, s.spot) && ask.admitted(s)) {
         *room.entry(s.yard).or_default() += spec.need.times_in(&s.free, spec.pieces.into());
     }
     room.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z)
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -33,6 +33,8 @@
     Job(JobId),
     /// A further chunk of a job's finished set.
     Chunk(JobId, u32),
+    /// A set of the operators' rules, by its digest.
+    Rules(u64),
     /// An ended job.
     Final(JobId),
 }
@@ -49,6 +51,7 @@
             Key::Usage(k) => write!(f, "c/usage/{k}"),
             Key::Job(j) => write!(f, "c/job/{}", j.0),
             Key::Chunk(j, n) => write!(f, "c/job/{}/{n}", j.0),
+            Key::Rules(digest) => write!(f, "c/rules/{digest:016x}"),
             Key::Final(j) => write!(f, "final/{}", j.0),
         }
     }
@@ -77,6 +80,7 @@
                 Some(Key::Group(k.parse().ok()?, n.parse().ok()?))
             }
             "usage" => id.parse().ok().map(Key::Usage),
+            "rules" if id.len() == 16 => u64::from_str_radix(id, 16).ok().map(Key::Rules),
             "job" => match id.split_once('/') {
                 Some((job, n)) => Some(Key::Chunk(JobId(job.parse().ok()?), n.parse().ok()?)),
                 None => id.parse().ok().map(|n| Key::Job(JobId(n))),
@@ -88,7 +92,14 @@
 
 /// How the live records are laid out at most, as this version understands it. It is raised whenever
 /// they change in a way that an earlier version would misread; see [`MetaRecord::layout`].
-pub const LAYOUT: u32 = 3;
+pub const LAYOUT: u32 = 4;
+
+/// The first layout with jobs that await others.
+pub const PIPED: u32 = 3;
+
+/// The first layout with rules: sets of them have records, and jobs bring their own. Raised only where
+/// operators turned rules on at every controller.
+pub const RULED: u32 = 4;
 
 /// The first layout whose groups and finished sets have the terser written forms.
 pub const TERSE: u32 = 3;
@@ -121,6 +132,9 @@
     /// The latest layout that it understands. Versions before the third did not say.
     #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     pub layout: Option<u32>,
+    /// The digest of the rules that it was started with. None without any.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub rules: Option<u64>,
 }
 
 /// The owner of a slice. The record's stamp is the owner's term.
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -7,6 +7,7 @@
 
 use super::amount::Amount;
 use super::catalog::{Catalog, MachineType};
+use super::classes::Classes;
 use super::finished::{CHUNK, Finished};
 use super::ids::{JobId, MachineId, Part, Slice, TaskId};
 use super::job::{FinalRecord, JobRecord, JobSpec, Urgency};
@@ -16,7 +17,9 @@
     UsageRecord,
 };
 use super::time::Micros;
-use std::collections::{BTreeMap, HashMap};
+use cometlead_constraints::RuleSet;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 
 /// A record's new content.
 #[derive(Clone, Debug)]
@@ -39,6 +42,8 @@
     Job(Box<JobRecord>),
     /// A chunk of a finished set.
     Chunk(Finished),
+    /// Rules; `None` if they are written in a way that this version does not understand.
+    Rules(Option<Arc<RuleSet>>),
 }
 
 /// One change of one key; `None` removes it.
@@ -144,6 +149,8 @@
     pub ended: Vec<(JobId, FinalRecord)>,
     /// A controller came or went.
     pub nodes: bool,
+    /// Rules, or what they are judged by, changed.
+    pub rules: bool,
 }
 
 /// Takes a machine's bookings out of the index.
@@ -189,6 +196,10 @@
     pub jobs: HashMap<JobId, Job>,
     /// Which of them await which.
     pub pipelines: Graph,
+    /// Sets of rules, by digest.
+    pub rules: BTreeMap<u64, Stamped<Option<Arc<RuleSet>>>>,
+    /// Classes of equal machines.
+    pub classes: Classes,
     parts: HashMap<MachineId, Part>,
     /// Machines that a lower part still lists although they were copied to a higher one, with that part.
     stale: HashMap<MachineId, Part>,
@@ -239,6 +250,12 @@
         self.groups.get(k)?.get(&n)?.value.machines.get(&m)
     }
 
+    /// Gives machines that rules name classes of their own.
+    pub fn label(&mut self, labelled: BTreeSet<MachineId>) {
+        let machines = self.groups.iter().flat_map(|parts| parts.values()).flat_map(|g| &g.value.machines);
+        self.classes.label(labelled, machines.map(|(m, r)| (*m, r)));
+    }
+
     /// All machines of all groups.
     pub fn machines(&self) -> impl Iterator<Item = (Slice, MachineId, &MachineRecord)> {
         (0..self.groups.len()).flat_map(|k| self.machines_of(k).map(move |(m, r)| (k, m, r)))
@@ -326,6 +343,7 @@
             Key::Usage(k) => self.usage.get(*k).map_or(0, |s| s.stamp),
             Key::Job(j) => self.jobs.get(j).map_or(0, |s| s.stamp),
             Key::Chunk(j, n) => self.jobs.get(j).and_then(|s| s.chunks.get(n)).map_or(0, |c| c.stamp),
+            Key::Rules(d) => self.rules.get(d).map_or(0, |s| s.stamp),
             Key::Final(_) => 0,
         }
     }
@@ -365,8 +383,18 @@
                 self.size_for(last);
             }
             (Key::Types, Some(Content::Types(value))) => {
+                self.classes.offer(&value);
                 self.types = Stamped { value: Some(value), stamp };
                 touched.usage = true;
+                touched.rules = true;
+            }
+            (Key::Rules(digest), Some(Content::Rules(value))) => {
+                self.rules.insert(digest, Stamped { value, stamp });
+                touched.rules = true;
+            }
+            (Key::Rules(digest), None) => {
+                self.rules.remove(&digest);
+                touched.rules = true;
             }
             (Key::Fleet, Some(Content::Fleet(value))) => self.fleet = Stamped { value, stamp },
             (Key::Node(name), Some(Content::Node(value))) => {
@@ -520,6 +548,7 @@
             unindex(&mut self.booked, *m, record);
             if now.is_none() && self.parts.get(m) == Some(&n) {
                 self.parts.remove(m);
+                self.classes.remove(*m);
             }
         }
         for (m, record) in after {
@@ -530,6 +559,7 @@
             if was.is_none() {
                 touched.machines.push(*m);
                 self.parts.insert(*m, n);
+                self.classes.add(*m, record);
             }
             for Booking(job, index, number) in &record.tasks {
                 let place = Place { machine: *m, number: *number };
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -162,6 +162,7 @@
         }
         if self.fleet.looking && self.fleet.hiring == 0 && !self.fleet.writing {
             self.fleet.looking = false;
+            self.refresh_rules();
             self.hire_machines();
         }
     }
@@ -173,7 +174,7 @@
             .jobs
             .iter()
             .filter(|(id, j)| !self.rounds.is_suspect(**id) && self.view.pending_count(**id, j) > 0)
-            .filter(|(_, j)| j.ready() || self.nears(j) && self.lacks_machines(j))
+            .filter(|(id, j)| j.ready() || self.nears(j) && self.lacks_machines(**id, j))
             .collect();
         jobs.sort_by_key(|(id, j)| (j.urgency(), self.latest_start(j), **id));
         let mut used: BTreeMap<&str, u64> = BTreeMap::new();
@@ -189,8 +190,10 @@
             }
             *used += count * spec.need.cores;
             if count > 0 {
+                let Ok(places) = self.places_for(*id, j) else { continue };
                 let slack = self.latest_start(j).since(self.now.day);
-                demands.push(Demand { spec, count, slack, run: spec.guess, price_limit: self.price_limit(j) });
+                let price_limit = self.price_limit(*id, j);
+                demands.push(Demand { spec, count, slack, run: spec.guess, price_limit, places });
             }
         }
         demands
@@ -207,15 +210,16 @@
 
     /// Whether the machines that a job may use would not hold it even if nothing else ran there: where
     /// many are up some have room in time, and hiring ahead of the turn only costs.
-    fn lacks_machines(&self, job: &Job) -> bool {
+    fn lacks_machines(&self, id: JobId, job: &Job) -> bool {
         let spec = job.spec();
         let mut left = u64::from(spec.pieces);
-        for (_, _, r) in self.view.machines() {
+        for (_, m, r) in self.view.machines() {
             if left == 0 {
                 return false;
             }
             if r.fitness == Fitness::Up
                 && spec.allows(&r.build, &r.yard, r.spot)
+                && self.may_use(id, m)
                 && let Some(t) = self.view.machine_type(&r.build)
             {
                 left -= spec.need.times_in(&t.room, left);
@@ -227,23 +231,31 @@
     /// Machines that are up or expected to come up.
     fn pools<'a>(&'a self, catalog: &Catalog) -> Pools<'a> {
         let mut pools = Pools::default();
-        for (_, _, r) in self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up) {
+        let ruled = self.rules.active();
+        let class_of = |build: &str, yard: &str, spot: bool| {
+            ruled.then(|| self.view.classes.of_offer(build, yard, spot)).flatten()
+        };
+        for (_, m, r) in self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up) {
             // Half of what is booked is over, on the average.
             let work = r
                 .tasks
                 .iter()
                 .filter_map(|b| self.view.jobs.get(&b.attempt().task.job))
                 .map(|j| u128::from(j.spec().need.cores) * u128::from(j.spec().guess.0 / 2));
-            pools.add((&r.build, &r.yard, r.spot), catalog, 1, Some(self.view.free(r)), work.sum());
+            let class = ruled.then(|| self.view.classes.of(m)).flatten();
+            let free = Some((self.view.free(r), Some(m)));
+            pools.add((&r.build, &r.yard, r.spot), catalog, class, 1, free, work.sum());
         }
         for (_, k) in self.fleet.known.iter().filter(|(m, k)| self.boots(**m, k)) {
-            pools.add((&k.build, &k.yard, k.spot), catalog, 1, None, 0);
+            let class = class_of(&k.build, &k.yard, k.spot);
+            pools.add((&k.build, &k.yard, k.spot), catalog, class, 1, None, 0);
         }
         // Rentals of an earlier owner whose machines no list shows yet.
         for h in &self.view.fleet.value.hires {
             let age = self.now.day.since(h.at);
             if age < self.cfg.list_lag * 2 + Micros::secs(8) {
-                pools.add((&h.build, &h.yard, h.spot), catalog, h.count.into(), None, 0);
+                let class = class_of(&h.build, &h.yard, h.spot);
+                pools.add((&h.build, &h.yard, h.spot), catalog, class, h.count.into(), None, 0);
             }
         }
         pools
@@ -264,7 +276,10 @@
         let catalog = &catalog;
         let none_left = &self.fleet.none_left;
         let offered = |o: &Offer| none_left.get(o).is_none_or(|(until, _)| *until <= now);
-        let hires = plan(catalog, &demands, &mut self.pools(catalog), &offered);
+        let class_of =
+            |o: &Offer| self.rules.active().then(|| self.view.classes.of_offer(&o.build, &o.yard, o.spot)).flatten();
+        let hires = plan(catalog, &demands, &mut self.pools(catalog), &offered, &class_of);
+        drop(demands);
         if hires.is_empty() {
             return;
         }
@@ -342,7 +357,7 @@
     }
 
     /// How long a machine of this type takes to come up at present.
-    fn expected_boot(&self, build: &str) -> Micros {
+    pub(super) fn expected_boot(&self, build: &str) -> Micros {
         self.fleet.expected.get(build).map_or_else(|| self.nominal_boot(build), |(now, _)| *now)
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 mod reach;
 mod reader;
 mod rounds;
+mod rules;
 mod sessions;
 mod users;
 
@@ -28,6 +29,7 @@
 use crate::protocol::user::{UserAnswer, UserRequest};
 use crate::protocol::worker::{Report, ReportAnswer};
 use budget::Budget;
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -52,7 +54,7 @@
     /// A user asks; the answer goes to this call.
     User(CallId, UserRequest),
     /// A submission that is malformed but names its job.
-    BadSubmission(CallId, JobId, &'static str),
+    BadSubmission(CallId, JobId, Cow<'static, str>),
     /// A worker reports; the answer goes to this call.
     Report(CallId, Report),
     /// The state service answered, or did not.
@@ -109,6 +111,7 @@
     Forerunner(JobId),
     Round(Box<rounds::InFlight>),
     Types(Catalog),
+    Rules,
     Fleet(Box<(FleetRecord, Vec<HireRecord>)>),
     Cloud(fleet::CloudPurpose),
     Direct(MachineId),
@@ -185,6 +188,7 @@
     users: users::Users,
     look_ups: pipelines::LookUps,
     fleet: fleet::Fleet,
+    rules: rules::Rules,
     peers: HashMap<String, (Micros, PeerHint)>,
     next_sweep: Micros,
     next_hint: Micros,
@@ -217,6 +221,7 @@
             users: users::Users::default(),
             look_ups: pipelines::LookUps::default(),
             fleet: fleet::Fleet::default(),
+            rules: rules::Rules::default(),
             peers: HashMap::new(),
             next_sweep: Micros::ZERO,
             next_hint: Micros::ZERO,
@@ -314,6 +319,7 @@
         self.wake_at(self.next_sweep);
         self.pump_ownership();
         self.pump_pipelines();
+        self.pump_rules();
         self.pump_users();
         self.pump_fleet();
         self.pump_rounds();
@@ -326,6 +332,7 @@
         self.sweep_reach();
         self.sweep_sessions();
         self.sweep_users();
+        self.sweep_rules();
         if self.now.steady >= self.next_count {
             self.next_count = self.now.steady + Micros::secs(30);
             let c = self.counters;
@@ -452,6 +459,7 @@
             Purpose::Final(w, of) => self.on_final(w, of, result),
             Purpose::Forerunner(id) => self.on_forerunner(id, result),
             Purpose::Round(round) => self.on_round(*round, result),
+            Purpose::Rules => self.on_rules_written(),
             Purpose::Types(types) => self.on_types_written(types, result),
             Purpose::Fleet(record) => self.on_fleet_written(*record, result),
             Purpose::Cloud(_) | Purpose::Direct(_) | Purpose::Enquiry => {}
@@ -475,6 +483,10 @@
         if touched.nodes {
             self.ownership.look();
             self.note_versions();
+            self.note_declared();
+        }
+        if touched.rules {
+            self.on_rules_changed();
         }
         for m in &touched.machines {
             self.on_machine_changed(*m);
@@ -484,6 +496,7 @@
         }
         for j in &touched.jobs {
             self.users.appeared(*j);
+            self.note_rules_of(*j);
             self.on_job_changed(*j);
         }
         if touched.usage || !touched.jobs.is_empty() || !touched.machines.is_empty() || !touched.own.is_empty() {
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -199,22 +199,26 @@
     fn pump_layout(&mut self) {
         let now = self.now.steady;
         let Some(meta) = &self.view.meta.value else { return };
-        if meta.layout >= self.layout || now < self.ownership.meta_at {
+        let wanted = self.wanted_layout();
+        if meta.layout >= wanted || now < self.ownership.meta_at {
             return;
         }
         let all = self.cfg.others.iter().map(|o| &o.node).chain([&self.cfg.node]);
-        let old = |n: &&String| self.ownership.understood.get(*n).is_none_or(|l| *l < self.layout);
-        let waiting: Vec<String> = all.filter(old).cloned().collect();
-        if !waiting.is_empty() {
-            if waiting != self.ownership.waited_for {
-                tracing::info!(controllers = ?waiting, "waiting for the new version of these before new records are written");
-                self.ownership.waited_for = waiting;
-            }
+        let old = |n: &&String| self.ownership.understood.get(*n).is_none_or(|l| *l < wanted);
+        let waiting: Vec<String> = all.clone().filter(old).cloned().collect();
+        // What all understand of the layouts between is raised meanwhile.
+        let known = |n: &String| self.ownership.understood.get(n).copied().unwrap_or(0);
+        let raised = all.map(known).min().unwrap_or(0).min(wanted);
+        if !waiting.is_empty() && waiting != self.ownership.waited_for {
+            tracing::info!(controllers = ?waiting, "waiting for the new version of these before new records are written");
+            self.ownership.waited_for = waiting;
+        }
+        if raised <= meta.layout {
             return;
         }
         self.ownership.meta_at = now + Micros::millis(500);
-        tracing::info!(layout = self.layout, "all controllers have the new version: raising the layout of the records");
-        let record = MetaRecord { layout: self.layout, ..meta.clone() };
+        tracing::info!(layout = raised, "all controllers have the new version: raising the layout of the records");
+        let record = MetaRecord { layout: raised, ..meta.clone() };
         // A controller that comes back in this moment would be missed: then this fails, and is tried again.
         let nodes = self.view.nodes.iter().map(|(n, s)| (Key::Node(n.clone()), s.stamp));
         let when = [(Key::Meta, self.view.meta.stamp)].into_iter().chain(nodes);
@@ -298,7 +302,12 @@
         let value = if gone {
             None
         } else {
-            encode(&NodeRecord { run: self.run, layout: (self.layout > FIRST_LAYOUT).then_some(self.layout) })
+            let layout = self.wanted_layout();
+            encode(&NodeRecord {
+                run: self.run,
+                layout: (layout > FIRST_LAYOUT).then_some(layout),
+                rules: self.rules.digest(),
+            })
         };
         let permit = (!gone).then_some(lease);
         let txn = Txn { when: vec![(key.clone(), stamp)], then: vec![Put { key, value, permit }] };
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -3,7 +3,7 @@
 use super::{Controller, Purpose};
 use crate::bookkeeping::ids::JobId;
 use crate::bookkeeping::job::FinalRecord;
-use crate::bookkeeping::records::{Key, LAYOUT};
+use crate::bookkeeping::records::{Key, PIPED};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::Touched;
 use crate::protocol::state::{CallError, StateReply, StateRequest};
@@ -21,7 +21,7 @@
 
     /// Whether jobs may await others: every controller understands them.
     pub(super) fn takes_pipelines(&self) -> bool {
-        self.view.meta.value.as_ref().is_some_and(|m| m.layout >= LAYOUT)
+        self.view.meta.value.as_ref().is_some_and(|m| m.layout >= PIPED)
     }
 
     /// Looks up how jobs ended that others await. Until that is known these wait.
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -82,6 +82,7 @@
                     return;
                 }
                 self.view.clear();
+                self.rules.look();
                 self.users.forget_absent();
                 self.reader.phase = Phase::Listing;
                 self.budget.force(now, 0);
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -3,8 +3,10 @@
 
 use super::draft::shrink::too_large;
 use super::draft::{Commit, Draft, Limits};
+use super::rules::jobs_there;
 use super::sessions::{Mark, Outcome};
 use super::{Controller, Purpose};
+use crate::bookkeeping::admission::House;
 use crate::bookkeeping::amount::Amount;
 use crate::bookkeeping::fleet::{core_price, price_limit};
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice, TaskId};
@@ -245,6 +247,7 @@
             self.wake_at(patient);
             return;
         }
+        self.refresh_bars();
         // A large round of what has time must not hold up what must start at once: that may overdraw.
         let lean_only = match self.budget.round(now) {
             Ok(()) => false,
@@ -301,6 +304,7 @@
             && self.owns(self.view.job_slice(id, job.spec()))
             && !self.rounds.is_suspect(id)
             && !self.unplaced_job(job)
+            && !self.rules.bars(id)
     }
 
     /// How large a group should become. Every change of it is sent whole to every controller, so at
@@ -495,7 +499,8 @@
         if !jobs.iter().any(|(id, j)| self.owns(self.view.job_slice(*id, j.spec()))) {
             return Vec::new();
         }
-        let mut asks = self.asks(jobs, draft);
+        let house = self.rules.active().then(|| self.house());
+        let mut asks = self.asks(jobs, draft, house.as_ref());
         if at_once {
             asks.iter_mut().for_each(|a| a.mine &= self.starts_at_once(a.spec));
         }
@@ -542,6 +547,11 @@
                     images: &r.images,
                     fetches: None,
                     running: Vec::new(),
+                    class: house.and_then(|_| self.view.classes.of(machine)).unwrap_or_default(),
+                    there: match house {
+                        Some(h) if h.beside => draft.machine(machine).map_or(Vec::new(), |r| jobs_there(&r.tasks)),
+                        _ => Vec::new(),
+                    },
                 })
             })
             .collect();
@@ -588,7 +598,12 @@
     }
 
     /// What the jobs ask for, as far as their teams' limits let them.
-    fn asks<'a>(&'a self, jobs: Vec<(JobId, &'a Job)>, draft: &Draft<'_>) -> Vec<Ask<'a>> {
+    fn asks<'a>(
+        &'a self,
+        jobs: Vec<(JobId, &'a Job)>,
+        draft: &Draft<'_>,
+        house: Option<&'a House<'a>>,
+    ) -> Vec<Ask<'a>> {
         let mut asks: Vec<Ask<'a>> = Vec::new();
         let mut wanted = 0;
         let mut left: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
@@ -620,7 +635,7 @@
                 // What is left of a gang that lost a task ends by itself; then all are placed anew.
                 continue;
             }
-            let fits = (spec.pieces as usize) <= Self::CLAIMS && !self.needs_parts(spec);
+            let fits = (spec.pieces as usize) <= Self::CLAIMS && !self.needs_parts(id, spec);
             let whole = spec.together() && none_booked && fits;
             let suspect = self.rounds.is_suspect(id);
             if suspect && !spec.standing && !none_booked {
@@ -647,7 +662,7 @@
                 tasks,
                 zones: if spec.one_zone || spec.apart { self.zones_of(id) } else { BTreeMap::new() },
                 most,
-                price_limit: if suspect { self.fair_price(spec) } else { self.price_limit_among(job, &kinds) },
+                price_limit: if suspect { self.fair_price(id, spec) } else { self.price_limit_among(id, job, &kinds) },
                 owner: k,
                 mine,
                 preempts: self.preempts(job) && !suspect,
@@ -655,6 +670,7 @@
                 guaranteed: team.is_some_and(|t| t.has_share()) && !self.borrows(job, k),
                 whole,
                 avoid: &job.record.avoid,
+                rules: self.rules_for(id, job, house),
             });
         }
         asks
@@ -667,13 +683,13 @@
 
     /// Whether there is room for all tasks of a set, but not on as many groups as one transaction can
     /// write. Then it is booked in parts, round after round: a gang's tasks wait for each other.
-    fn needs_parts(&self, spec: &JobSpec) -> bool {
+    fn needs_parts(&self, id: JobId, spec: &JobSpec) -> bool {
         if !spec.together() {
             return false;
         }
         let mut room: BTreeMap<_, u64> = BTreeMap::new();
         for (_, m, r) in self.view.machines() {
-            if r.fitness == Fitness::Up && spec.allows(&r.build, &r.yard, r.spot) {
+            if r.fitness == Fitness::Up && spec.allows(&r.build, &r.yard, r.spot) && self.may_use(id, m) {
                 *room.entry(self.view.home(m)).or_default() +=
                     spec.need.times_in(&self.view.free(r), spec.pieces.into());
             }
@@ -753,7 +769,7 @@
         let mut jobs: Vec<(Precedence, JobId, &Job)> = Vec::new();
         for (id, job) in &self.view.jobs {
             let none = !job.ready() || self.view.pending_count(*id, job) == 0;
-            if none || self.backing_off(*id) || self.unplaced_job(job) {
+            if none || self.backing_off(*id) || self.unplaced_job(job) || self.rules.bars(*id) {
                 continue;
             }
             let spec = job.spec();
@@ -783,32 +799,38 @@
 
     /// Most that a core may cost for a job: what is dear is for those that would be late, or have
     /// to start at once.
-    pub(super) fn price_limit(&self, job: &Job) -> u64 {
+    pub(super) fn price_limit(&self, id: JobId, job: &Job) -> u64 {
         let spec = job.spec();
         let margin = Micros::secs(10) + Micros(spec.guess.0 / 4);
 
         if self.starts_at_once(spec) || self.latest_start(job) < self.now.day + margin {
             u64::MAX
         } else {
-            self.fair_price(spec)
+            self.fair_price(id, spec)
         }
     }
 
     /// The same for placing: where nothing but what is dear is up, waiting for better would leave
     /// it idle, and paid for.
-    fn price_limit_among(&self, job: &Job, kinds: &BTreeSet<(&str, &str, bool)>) -> u64 {
+    fn price_limit_among(&self, id: JobId, job: &Job, kinds: &BTreeSet<(&str, &str, bool)>) -> u64 {
         let spec = job.spec();
-        let limit = self.price_limit(job);
+        let limit = self.price_limit(id, job);
         let cheap = |(build, yard, spot): &(&str, &str, bool)| {
             self.view.machine_type(build).is_some_and(|t| {
-                spec.need.fits(&t.room) && spec.allows(build, yard, *spot) && core_price(t, *spot) <= limit
+                spec.need.fits(&t.room)
+                    && spec.allows(build, yard, *spot)
+                    && core_price(t, *spot) <= limit
+                    && self.may_hire(id, build, yard, *spot)
             })
         };
         if limit < u64::MAX && !kinds.iter().any(cheap) { u64::MAX } else { limit }
     }
 
-    fn fair_price(&self, spec: &JobSpec) -> u64 {
-        self.view.types.value.as_ref().map_or(u64::MAX, |catalog| price_limit(catalog, spec))
+    fn fair_price(&self, id: JobId, spec: &JobSpec) -> u64 {
+        let allows = |build: &str, yard: &str, spot: bool| {
+            spec.allows(build, yard, spot) && self.may_hire(id, build, yard, spot)
+        };
+        self.view.types.value.as_ref().map_or(u64::MAX, |catalog| price_limit(catalog, spec, &allows))
     }
 
     /// Whether the objectives want tasks of this class started at once.
--- /dev/null
+++ b/src/coordination/rules.rs
@@ -0,0 +1,514 @@
+//! Rules for where jobs run: which are in force, what they say to each job, and why a job waits for them.
+//!
+//! The sets of rules that controllers were started with are records of the state service, by digest. All
+//! of them hold, at every controller, until no controller has one any more: so a change by rolling restart
+//! never leaves a moment in which the old rules hold here and the new ones there.
+
+use super::{Controller, Purpose};
+use crate::bookkeeping::admission::{Admission, ClassTraits, House, Insisted, Site, clash, has_hard, labelled, traits};
+use crate::bookkeeping::classes::ClassId;
+use crate::bookkeeping::fleet::Places;
+use crate::bookkeeping::ids::{JobId, MachineId, TaskId};
+use crate::bookkeeping::job::JobSpec;
+use crate::bookkeeping::placement;
+use crate::bookkeeping::records::{Booking, Fitness, Key, MachineRecord, PIPED, RULED};
+use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::{Job, View};
+use crate::protocol::state::{Put, StateRequest, Txn, encode};
+use cometlead_constraints::RuleSet;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// What is known of rules.
+#[derive(Debug, Default)]
+pub struct Rules {
+    /// Those that this controller was started with.
+    own: Option<Arc<RuleSet>>,
+    /// Those in force, the newest last.
+    sets: Vec<Arc<RuleSet>>,
+    /// Some are written in a way that this version does not understand: nothing may be started.
+    unreadable: bool,
+    /// Traits of each class under each set.
+    traits: Vec<ClassTraits>,
+    /// What the traits were worked out from.
+    judged: (u64, u64),
+    admissions: HashMap<JobId, Admission>,
+    /// Some rule asks which jobs are beside.
+    beside: bool,
+    /// Sets, or the copy as a whole, are to be looked at anew.
+    stale: bool,
+    /// Jobs that came, changed or went.
+    changed: BTreeSet<JobId>,
+    /// The rules that each controller was last seen with, alive or not.
+    declared: BTreeMap<String, Option<u64>>,
+    writing: bool,
+    next_write: Micros,
+    next_reasons: Micros,
+}
+
+/// Jobs that have tasks on a machine, each once.
+pub(super) fn jobs_there(tasks: &[Booking]) -> Vec<JobId> {
+    let mut jobs: Vec<JobId> = tasks.iter().map(|b| JobId(b.0)).collect();
+    jobs.sort_unstable();
+    jobs.dedup();
+    jobs
+}
+
+fn site<'a>(class: ClassId, r: &'a MachineRecord, there: &'a [JobId]) -> Site<'a> {
+    Site { class, images: &r.images, fetches: None, there }
+}
+
+impl Rules {
+    /// Those that a controller is started with.
+    pub fn of(own: Option<Arc<RuleSet>>) -> Rules {
+        Rules { stale: own.is_some(), own, ..Rules::default() }
+    }
+
+    /// Whether any rule has a say in anything.
+    pub fn active(&self) -> bool {
+        self.unreadable || !self.admissions.is_empty() || !self.sets.is_empty()
+    }
+
+    /// The digest of those that this controller was started with.
+    pub fn digest(&self) -> Option<u64> {
+        self.own.as_ref().map(|s| s.digest)
+    }
+
+    /// Sets came, changed or went, or the copy was read anew.
+    pub fn look(&mut self) {
+        self.stale = true;
+    }
+
+    /// Why a job waits, if that is for its rules.
+    pub fn reason(&self, id: JobId) -> Option<Arc<str>> {
+        self.admissions.get(&id)?.reason.clone()
+    }
+
+    /// Whether no machine that is up may run a job now.
+    pub fn bars(&self, id: JobId) -> bool {
+        self.unreadable || self.admissions.get(&id).is_some_and(|a| a.barred)
+    }
+
+    fn house<'a>(&'a self, view: &'a View) -> House<'a> {
+        House { jobs: &view.jobs, admissions: &self.admissions, beside: self.beside }
+    }
+
+    /// Whether a task that was booked must not be launched: its rules have changed since, or what is on its
+    /// machine has.
+    pub fn forbid_launch(&self, view: &View, m: MachineId, r: &MachineRecord, id: JobId) -> bool {
+        if !self.active() {
+            return false;
+        }
+        if self.unreadable {
+            return true;
+        }
+        let admission = self.admissions.get(&id);
+        if admission.is_none() && !self.beside {
+            return false;
+        }
+        let (Some(class), Some(job)) = (view.classes.of(m), view.jobs.get(&id)) else { return false };
+        let there = jobs_there(&r.tasks);
+        !self.house(view).admits((id, job.spec()), admission, 0, site(class, r, &there))
+    }
+
+    /// Whether a task that has not begun must be stopped: its machine is not one that it may run on any more.
+    pub fn forbid_start(&self, view: &View, m: MachineId, id: JobId) -> bool {
+        let admission = self.admissions.get(&id);
+        admission.is_some_and(|a| view.classes.of(m).is_some_and(|c| !a.may(c, 0)))
+    }
+}
+
+/// Why a submission is not simply taken, for the sake of rules.
+pub(super) enum NotTaken {
+    /// It can never run.
+    Never(String),
+    /// Not every controller would keep its rules yet.
+    Later,
+}
+
+impl Controller {
+    /// The same controller, started with rules.
+    pub fn with_rules(mut self, own: Option<Arc<RuleSet>>) -> Controller {
+        self.rules = Rules::of(own);
+        self
+    }
+
+    /// The layout of records that this controller wants: rules need one of their own, which is only raised
+    /// where they are turned on.
+    pub(super) fn wanted_layout(&self) -> u32 {
+        let most = if self.rules.own.is_some() { RULED } else { PIPED };
+        self.layout.min(most.max(self.view.layout()))
+    }
+
+    /// Whether every controller keeps rules.
+    fn keeps_rules(&self) -> bool {
+        self.view.layout() >= RULED
+    }
+
+    pub(super) fn house(&self) -> House<'_> {
+        self.rules.house(&self.view)
+    }
+
+    /// A job came, changed or went.
+    pub(super) fn note_rules_of(&mut self, id: JobId) {
+        let rules = &mut self.rules;
+        if !rules.sets.is_empty()
+            || rules.admissions.contains_key(&id)
+            || self.view.jobs.get(&id).is_some_and(|j| !j.spec().rules.is_empty())
+        {
+            rules.changed.insert(id);
+        }
+    }
+
+    /// Brings what rules say up to what the copy shows.
+    pub(super) fn refresh_rules(&mut self) {
+        if self.view.types.value.is_none() {
+            return;
+        }
+        let rules = &mut self.rules;
+        if rules.stale {
+            let mut sets: Vec<(u64, Arc<RuleSet>)> =
+                self.view.rules.values().filter_map(|s| Some((s.stamp, Arc::clone(s.value.as_ref()?)))).collect();
+            sets.sort_by_key(|(stamp, _)| *stamp);
+            rules.unreadable = self.view.rules.values().any(|s| s.value.is_none());
+            rules.sets = sets.into_iter().map(|(_, s)| s).collect();
+            if let Some(own) = rules.own.as_ref().filter(|own| !self.view.rules.contains_key(&own.digest)) {
+                rules.sets.push(Arc::clone(own));
+            }
+            let labelled = labelled(&rules.sets);
+            self.view.label(labelled);
+        }
+        if !rules.stale && rules.sets.is_empty() && rules.admissions.is_empty() && rules.changed.is_empty() {
+            return;
+        }
+        let judged = (self.view.types.stamp, self.view.classes.generation());
+        if rules.stale || judged != rules.judged {
+            let Some(catalog) = &self.view.types.value else { return };
+            rules.traits = self.view.classes.all().iter().map(|c| traits(c, &rules.sets, catalog)).collect();
+            rules.judged = judged;
+            rules.changed.extend(self.view.jobs.keys().copied().chain(rules.admissions.keys().copied()));
+        }
+        rules.stale = false;
+        if rules.changed.is_empty() {
+            return;
+        }
+        for id in std::mem::take(&mut rules.changed) {
+            let job = self.view.jobs.get(&id);
+            let admission = job.and_then(|j| Admission::of(j.spec(), &rules.sets, &rules.traits));
+            match admission {
+                Some(mut a) => {
+                    // What was last said of it stands until it is looked at again.
+                    a.reason = rules.admissions.get(&id).and_then(|b| b.reason.clone());
+                    rules.admissions.insert(id, a);
+                }
+                None => {
+                    rules.admissions.remove(&id);
+                }
+            }
+        }
+        rules.beside = rules.admissions.values().any(Admission::asks_beside);
+    }
+
+    /// Notes which jobs no machine that is up may run now: they take no place in a plan.
+    pub(super) fn refresh_bars(&mut self) {
+        self.refresh_rules();
+        if !self.rules.active() {
+            return;
+        }
+        let barred: Vec<(JobId, bool)> =
+            self.rules.admissions.iter().map(|(id, a)| (*id, self.is_barred(*id, a))).collect();
+        for (id, barred) in barred {
+            if let Some(a) = self.rules.admissions.get_mut(&id) {
+                a.barred = barred;
+            }
+        }
+    }
+
+    fn is_barred(&self, id: JobId, a: &Admission) -> bool {
+        let Some(job) = self.view.jobs.get(&id).filter(|j| self.view.pending_count(id, j) > 0) else { return false };
+        let classes = &self.view.classes;
+        let up = (0..classes.all().len()).filter(|c| classes.is_up(*c) && a.may(*c, 0));
+        let spec = job.spec();
+        match up.map(|c| a.is_open_on(c)).reduce(|a, b| a && b) {
+            None => true,
+            Some(false) => false,
+            // It depends on what is on each.
+            Some(true) => !self.up().any(|(m, r)| {
+                let there = jobs_there(&r.tasks);
+                classes.of(m).is_some_and(|c| self.house().admits((id, spec), Some(a), 0, site(c, r, &there)))
+            }),
+        }
+    }
+
+    fn up(&self) -> impl Iterator<Item = (MachineId, &MachineRecord)> {
+        self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up).map(|(_, m, r)| (m, r))
+    }
+
+    /// Classes of machines that are up or could be, and that a job's own fields and size let it use.
+    fn possible_classes(&self, spec: &JobSpec) -> Vec<ClassId> {
+        let classes = &self.view.classes;
+        let fits = |n: &ClassId| {
+            let c = &classes.all()[*n];
+            classes.possible(*n)
+                && spec.allows(&c.build, &c.yard, c.spot)
+                && self.view.machine_type(&c.build).is_some_and(|t| spec.need.fits(&t.room))
+        };
+        (0..classes.all().len()).filter(fits).collect()
+    }
+
+    /// The preferences that a job still waits for: none past its latest start.
+    pub(super) fn insisted(&self, id: JobId, job: &Job) -> Insisted {
+        let Some(a) = self.rules.admissions.get(&id).filter(|a| a.waits()) else { return 0 };
+        let now = self.now.day;
+        if now >= self.latest_start(job) {
+            return 0;
+        }
+        let ready = job.record.submitted.max(job.stage.ready_at);
+        a.insists(&self.possible_classes(job.spec()), &|wait| now < ready + wait)
+    }
+
+    /// The rules that have a say in where tasks of a job are placed.
+    pub(super) fn rules_for<'b>(
+        &'b self,
+        id: JobId,
+        job: &Job,
+        house: Option<&'b House<'b>>,
+    ) -> Option<placement::Rules<'b>> {
+        let house = house?;
+        let admission = self.rules.admissions.get(&id);
+        let insisted = self.insisted(id, job);
+        (admission.is_some() || house.beside).then_some(placement::Rules { house, admission, insisted })
+    }
+
+    /// Whether rules let a job on machines of a type, zone and kind.
+    pub(super) fn may_hire(&self, id: JobId, build: &str, yard: &str, spot: bool) -> bool {
+        self.rules
+            .admissions
+            .get(&id)
+            .is_none_or(|a| self.view.classes.of_offer(build, yard, spot).is_some_and(|c| a.may(c, 0)))
+    }
+
+    /// Whether rules let a job on a machine, as far as its class tells.
+    pub(super) fn may_use(&self, id: JobId, m: MachineId) -> bool {
+        self.rules.admissions.get(&id).is_none_or(|a| self.view.classes.of(m).is_some_and(|c| a.may(c, 0)))
+    }
+
+    /// What rules make of machines that are hired for a job; `Err` if none that could be hired would do.
+    pub(super) fn places_for<'a>(&'a self, id: JobId, job: &'a Job) -> Result<Option<Box<dyn Places + 'a>>, ()> {
+        let Some(admission) = self.rules.admissions.get(&id) else {
+            return if self.rules.beside {
+                Ok(Some(Box::new(JobPlaces { controller: self, id, spec: job.spec(), admission: None, insisted: 0 })))
+            } else {
+                Ok(None)
+            };
+        };
+        let spec = job.spec();
+        let classes = &self.view.classes;
+        let possible = self.possible_classes(spec);
+        // A preference that no machine could meet in time is not hired for.
+        let mut insisted = self.insisted(id, job);
+        let left = |wait: Micros| (job.record.submitted.max(job.stage.ready_at) + wait).since(self.now.day);
+        let least = admission.soft.iter().enumerate().filter(|(i, _)| insisted >> i & 1 == 1);
+        if let Some(least) = least.map(|(_, s)| left(s.wait)).min() {
+            let in_time = |c: &ClassId| {
+                admission.may_fresh(*c, insisted) && self.expected_boot(&classes.all()[*c].build) <= least
+            };
+            if !possible.iter().any(in_time) {
+                insisted = 0;
+            }
+        }
+        if !possible.iter().any(|c| admission.may_fresh(*c, insisted)) {
+            return Err(());
+        }
+        Ok(Some(Box::new(JobPlaces { controller: self, id, spec, admission: Some(admission), insisted })))
+    }
+
+    /// Whether rules keep a submission from being taken. What they say is only known once the machine types are.
+    pub(super) fn not_taken(&self, spec: &JobSpec) -> Option<NotTaken> {
+        let sets = &self.rules.sets;
+        if !self.keeps_rules() && (!spec.rules.is_empty() || has_hard(spec, sets)) {
+            if self.rules.own.is_none() {
+                return (!spec.rules.is_empty()).then(|| {
+                    NotTaken::Never("rules: none are taken here, operators have not turned them on".to_owned())
+                });
+            }
+            return Some(NotTaken::Later);
+        }
+        // A trait that one of two versions of the rules does not know may come to be known.
+        for rule in &spec.rules {
+            let checked: Vec<_> = sets.iter().map(|s| rule.check(&s.vocabulary)).collect();
+            if let Some(Err(e)) = checked.first()
+                && checked.iter().all(Result::is_err)
+            {
+                return Some(NotTaken::Never(format!("rules: {e}")));
+            }
+        }
+        let catalog = self.view.types.value.as_ref()?;
+        let admission = Admission::of(spec, sets, &self.rules.traits)?;
+        let clash = clash(spec, &admission, sets, &self.view.classes, catalog)?;
+        Some(NotTaken::Never(format!("rules: no machine that could be had meets all of: {}", clash.join(", "))))
+    }
+
+    /// Looks why jobs wait, and says so when that changes.
+    pub(super) fn sweep_rules(&mut self) {
+        let now = self.now.steady;
+        if now < self.rules.next_reasons || !self.reader.ready() {
+            return;
+        }
+        self.rules.next_reasons = now + Micros::secs(1);
+        self.refresh_bars();
+        if !self.rules.active() {
+            return;
+        }
+        let reasons: Vec<(JobId, Option<String>)> =
+            self.rules.admissions.iter().map(|(id, a)| (*id, self.why_it_waits(*id, a))).collect();
+        for (id, reason) in reasons {
+            let Some(a) = self.rules.admissions.get_mut(&id) else { continue };
+            if a.reason.as_deref() == reason.as_deref() {
+                continue;
+            }
+            match &reason {
+                Some(why) => tracing::info!(job = %id, why, "waits for its rules"),
+                None => tracing::info!(job = %id, "waits for its rules no longer"),
+            }
+            a.reason = reason.map(Into::into);
+        }
+        // What a preference was waited for may be over.
+        if self.rules.admissions.values().any(Admission::waits) {
+            self.rounds.look();
+            self.fleet.look();
+        }
+    }
+
+    fn why_it_waits(&self, id: JobId, a: &Admission) -> Option<String> {
+        let job = self.view.jobs.get(&id)?;
+        if !job.ready() || self.view.pending_count(id, job) == 0 {
+            return None;
+        }
+        let spec = job.spec();
+        let catalog = self.view.types.value.as_ref()?;
+        if let Some(clash) = clash(spec, a, &self.rules.sets, &self.view.classes, catalog) {
+            return Some(format!("no machine that could be had meets all of: {}", clash.join(", ")));
+        }
+        let classes = &self.view.classes;
+        let house = self.house();
+        if a.barred {
+            let sites: Vec<(ClassId, &MachineRecord, Vec<JobId>)> = self
+                .up()
+                .filter(|(_, r)| spec.allows(&r.build, &r.yard, r.spot))
+                .filter_map(|(m, r)| Some((classes.of(m)?, r, jobs_there(&r.tasks))))
+                .collect();
+            let sites = sites.iter().map(|(c, r, there)| site(*c, r, there));
+            return match house.kept_from((id, spec), a, sites) {
+                Some(clash) if !clash.is_empty() => Some(format!("no machine that is up meets: {}", clash.join(", "))),
+                Some(_) => Some("no machine that is up fits".to_owned()),
+                None => Some("rules of the jobs on the machines that are up keep it away".to_owned()),
+            };
+        }
+        let insisted = self.insisted(id, job);
+        let here = |c: ClassId| classes.is_up(c) && a.may(c, insisted);
+        (insisted > 0 && !(0..classes.all().len()).any(here)).then(|| {
+            let names: Vec<&str> = a
+                .soft
+                .iter()
+                .enumerate()
+                .filter(|(i, _)| insisted >> i & 1 == 1)
+                .map(|(_, s)| s.name.as_str())
+                .collect();
+            format!("for a while, a machine is waited for that meets: {}", names.join(", "))
+        })
+    }
+
+    /// Notes which rules the live controllers were started with.
+    pub(super) fn note_declared(&mut self) {
+        for (name, node) in &self.view.nodes {
+            self.rules.declared.insert(name.clone(), node.value.rules);
+        }
+    }
+
+    /// Keeps the records of rules: this controller's own is there, and one that no controller has any more goes.
+    pub(super) fn pump_rules(&mut self) {
+        let now = self.now.steady;
+        if !self.reader.ready() || !self.keeps_rules() || self.rules.writing || now < self.rules.next_write {
+            return;
+        }
+        let missing = self.rules.own.as_ref().filter(|own| !self.view.rules.contains_key(&own.digest));
+        let txn = if let Some(own) = missing {
+            tracing::info!(rules = format!("{:016x}", own.digest), "rules are to hold at every controller");
+            let key = Key::Rules(own.digest);
+            Txn { when: vec![(key.clone(), 0)], then: vec![Put { key, value: encode(&**own), permit: None }] }
+        } else {
+            let Some(txn) = self.withdrawn_rules() else { return };
+            txn
+        };
+        self.rules.writing = true;
+        self.rules.next_write = now + Micros::millis(500);
+        self.budget.force(now, 1);
+        self.ask_state(Purpose::Rules, StateRequest::Txn(txn));
+    }
+
+    /// The removal of a set that no controller of the deploy file was last seen with.
+    fn withdrawn_rules(&self) -> Option<Txn> {
+        if !self.owns(0) {
+            return None;
+        }
+        let all = || self.cfg.others.iter().map(|o| &o.node).chain([&self.cfg.node]);
+        let unused = |d: &u64| all().all(|n| self.rules.declared.get(n).is_some_and(|has| has.as_ref() != Some(d)));
+        let (digest, set) = self.view.rules.iter().find(|(d, _)| unused(d))?;
+        tracing::info!(rules = format!("{digest:016x}"), "rules that no controller has any more hold no longer");
+        // A controller that comes back with them in this moment would be missed: then this fails.
+        let nodes = self.view.nodes.iter().map(|(n, s)| (Key::Node(n.clone()), s.stamp));
+        let key = Key::Rules(*digest);
+        let when = [(key.clone(), set.stamp)].into_iter().chain(nodes).take(self.limits.txn_ops() * 4).collect();
+        Some(Txn { when, then: vec![Put { key, value: None, permit: None }] })
+    }
+
+    /// Sets of rules came or went, or prices changed: what waits to be launched is looked at again.
+    pub(super) fn on_rules_changed(&mut self) {
+        self.rules.look();
+        self.refresh_rules();
+        self.rounds.look();
+        self.fleet.look();
+    }
+
+    pub(super) fn on_rules_written(&mut self) {
+        self.rules.writing = false;
+        self.reader.want_barrier();
+    }
+}
+
+/// What rules make of machines, for one job.
+struct JobPlaces<'a> {
+    controller: &'a Controller,
+    id: JobId,
+    spec: &'a JobSpec,
+    admission: Option<&'a Admission>,
+    insisted: Insisted,
+}
+
+impl Places for JobPlaces<'_> {
+    fn class(&self, class: ClassId) -> bool {
+        self.admission.is_none_or(|a| a.may(class, self.insisted))
+    }
+
+    fn machine(&self, class: ClassId, machine: Option<MachineId>) -> bool {
+        let Some(m) = machine else {
+            return self.admission.is_none_or(|a| a.may_fresh(class, self.insisted));
+        };
+        let Some(r) = self.controller.view.machine(m) else { return false };
+        let there = jobs_there(&r.tasks);
+        let house = self.controller.house();
+        house.admits((self.id, self.spec), self.admission, self.insisted, site(class, r, &there))
+    }
+
+    fn offer(&self, build: &str, yard: &str, spot: bool) -> Option<u32> {
+        let Some(a) = self.admission else { return Some(0) };
+        let class = self.controller.view.classes.of_offer(build, yard, spot)?;
+        a.may_fresh(class, self.insisted).then(|| a.fresh_worth(class))
+    }
+}
+
+/// A task's job, for logs of launches that rules forbid.
+pub(super) fn log_forbidden(task: TaskId, machine: MachineId) {
+    tracing::info!(%task, %machine, "its rules forbid the launch");
+}
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -3,6 +3,7 @@
 //! A booking is cleared only on proof that its attempt is not on the machine and cannot get there:
 //! see `docs/design.md`, "When a booking may be cleared".
 
+use super::rules::log_forbidden;
 use super::{CallId, Controller, Effect, Purpose};
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice};
 use crate::bookkeeping::records::{Booking, Fitness, MachineRecord};
@@ -335,6 +336,10 @@
                         orders.push(Order::Stop(*a, Micros::ZERO));
                     } else if preempted.contains(&Booking::of(*a)) {
                         orders.push(Order::Stop(*a, leeway(job)));
+                    } else if *state == TaskState::Fetching && self.rules.forbid_start(&self.view, machine, a.task.job)
+                    {
+                        log_forbidden(a.task, machine);
+                        orders.push(Order::Stop(*a, Micros::ZERO));
                     } else if let (Some(at), Some(job), TaskState::Running) = (s.recall_at, job, state) {
                         let spec = job.spec();
                         let left = at.since(now);
@@ -370,7 +375,8 @@
             let unwanted = job.is_none_or(Job::cancelled)
                 || fitness != Fitness::Up
                 || s.recall_at.is_some()
-                || preempted.contains(b);
+                || preempted.contains(b)
+                || record.is_some_and(|r| self.rules.forbid_launch(&self.view, machine, r, a.task.job));
             if !unwanted && !s.has_room(&self.view, record, &a) {
                 continue;
             }
@@ -496,6 +502,7 @@
                     && record.fitness == Fitness::Up
                     && s.recall_at.is_none()
                     && !self.rounds.clearing(m, a)
+                    && !self.rules.forbid_launch(&self.view, m, record, a.task.job)
                     && s.launched.insert(a)
                 {
                     orders.push(Order::Launch(a));
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -3,6 +3,7 @@
 //! What is not final is answered only after a read that began after the request came: another
 //! node may have told this user something newer than this copy knows.
 
+use super::rules::NotTaken;
 use super::{CallId, Controller, Effect, Purpose};
 use crate::bookkeeping::ids::JobId;
 use crate::bookkeeping::job::{FinalRecord, JobRecord, JobSpec};
@@ -11,6 +12,7 @@
 use crate::bookkeeping::view::{Change, Content, Touched};
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
 use crate::protocol::user::{JobAnswer, JobStatus, UserAnswer, UserRequest};
+use std::borrow::Cow;
 use std::collections::{HashMap, HashSet, VecDeque};
 
 #[derive(Clone, Debug)]
@@ -132,7 +134,13 @@
 }
 
 fn final_answer(id: JobId, f: FinalRecord) -> JobAnswer {
-    JobAnswer { id, status: if f.cancelled { JobStatus::Cancelled } else { JobStatus::Done }, done: f.done, running: 0 }
+    JobAnswer {
+        id,
+        status: if f.cancelled { JobStatus::Cancelled } else { JobStatus::Done },
+        done: f.done,
+        running: 0,
+        reason: None,
+    }
 }
 
 impl Controller {
@@ -177,7 +185,7 @@
             (false, 0) => JobStatus::Queued,
             _ => JobStatus::Running,
         };
-        Some(JobAnswer { id, status, done: job.done(), running })
+        Some(JobAnswer { id, status, done: job.done(), running, reason: self.rules.reason(id) })
     }
 
     /// Why a job could never run; `None` also while that is not known.
@@ -194,7 +202,7 @@
         (!team.allows(need.cores, need.accelerators)).then_some("more than the team's limit")
     }
 
-    pub(super) fn on_bad_submission(&mut self, call: CallId, id: JobId, why: &'static str) {
+    pub(super) fn on_bad_submission(&mut self, call: CallId, id: JobId, why: Cow<'static, str>) {
         self.take_request(call, id, Wish::Refuse(UserAnswer::Bad(why)));
     }
 
@@ -222,11 +230,16 @@
         match &w.wish {
             Wish::Submit(spec) if live.is_none() => {
                 if self.cfg.team(&spec.crew).is_none() {
-                    w.wish = Wish::Refuse(UserAnswer::Never("unknown team"));
+                    w.wish = Wish::Refuse(UserAnswer::Never("unknown team".into()));
                 } else if self.view.types.value.is_none() || self.view.slices() == 0 {
                     return self.answer(&w, Self::LATER);
                 } else if let Some(why) = self.never(spec) {
-                    w.wish = Wish::Refuse(UserAnswer::Never(why));
+                    w.wish = Wish::Refuse(UserAnswer::Never(why.into()));
+                } else if let Some(why) = self.not_taken(spec) {
+                    match why {
+                        NotTaken::Never(why) => w.wish = Wish::Refuse(UserAnswer::Never(why.into())),
+                        NotTaken::Later => return self.answer(&w, Self::LATER),
+                    }
                 } else if spec.awaits.is_empty() {
                     self.users.submits.push(w);
                     return;
@@ -278,7 +291,7 @@
         }
         match (refuse, missing) {
             (Some(why), _) => {
-                w.wish = Wish::Refuse(UserAnswer::Never(why));
+                w.wish = Wish::Refuse(UserAnswer::Never(why.into()));
                 self.await_read(w);
             }
             (None, None) => self.users.submits.push(w),
@@ -371,7 +384,7 @@
             let size = value.as_ref().map_or(0, |v| v.get().len());
             let spare = 1_600.min(spec.pieces as usize / 4 + 200);
             if size + spare > self.limits.value_bytes() {
-                self.answer(&w, UserAnswer::Bad("too large"));
+                self.answer(&w, UserAnswer::Bad("too large".into()));
                 continue;
             }
             txn.when.push((Key::Job(w.id), 0));
@@ -411,7 +424,7 @@
                     match self.view.jobs.get(&w.id) {
                         Some(j) if !j.record.cancelled && !j.stage.doubtful => {
                             let status = if j.cancelled() { JobStatus::Cancelled } else { JobStatus::Queued };
-                            let answer = JobAnswer { id: w.id, status, done: 0, running: 0 };
+                            let answer = JobAnswer { id: w.id, status, done: 0, running: 0, reason: None };
                             self.answer(&w, UserAnswer::Accepted(answer));
                         }
                         _ => self.await_read(w),
@@ -454,7 +467,8 @@
         match result {
             Ok(StateReply::Applied(epoch)) => {
                 tracing::info!(job = %w.id, "cancelled by its user");
-                let mut answer = JobAnswer { id: w.id, status: JobStatus::Cancelled, done: 0, running: 0 };
+                let mut answer =
+                    JobAnswer { id: w.id, status: JobStatus::Cancelled, done: 0, running: 0, reason: None };
                 if let Some(job) = self.view.jobs.get(&w.id) {
                     let record = JobRecord { cancelled: true, ..job.record.clone() };
                     answer.done = job.done();
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,199 @@
+//! Why machines may or may not run a job: what `cometlead rules explain` shows.
+//!
+//! Works on files alone: a submission as `POST /work` takes it, a rules file, and the machines to judge
+//! together with the cloud's catalogue.
+
+use crate::bookkeeping::admission::{self, Admission, clash, subject};
+use crate::bookkeeping::catalog::Catalog;
+use crate::bookkeeping::classes::{Class, Classes};
+use crate::bookkeeping::job::JobSpec;
+use crate::protocol::cloud::{self, CloudReply, CloudRequest};
+use crate::protocol::user::parse_submission;
+use cometlead_constraints::explain::{Verdict, explain};
+use cometlead_constraints::expr::{Expr, Field, Words};
+use cometlead_constraints::{Now, Rule, RuleSet, Subject};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A job that has tasks on a machine, as far as rules tell jobs apart.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Resident {
+    /// Its name.
+    #[serde(default)]
+    pub name_id: String,
+    /// Its class.
+    pub lane: String,
+    /// Its team.
+    pub crew: String,
+    /// Its image.
+    pub bundle: String,
+    /// Its urgency.
+    pub urgency: String,
+}
+
+/// A machine to judge.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Machine {
+    /// Its name.
+    pub host: String,
+    /// Type.
+    pub build: String,
+    /// Zone.
+    pub yard: String,
+    /// Spot.
+    #[serde(default)]
+    pub loaners: bool,
+    /// Images that it has or is fetching.
+    #[serde(default)]
+    pub images: Vec<String>,
+    /// Jobs that have tasks there.
+    #[serde(default)]
+    pub jobs: Vec<Resident>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MachinesFile {
+    /// What the cloud answers to `GET /catalog`.
+    catalog: serde_json::Value,
+    machines: Vec<Machine>,
+}
+
+/// What was found of a machine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Judgement {
+    /// Its name.
+    pub host: String,
+    /// Whether it may run the job now.
+    pub allowed: bool,
+    /// What of the submission itself keeps the job away, and rules of jobs that are there.
+    pub against: Vec<String>,
+    /// Rule by rule.
+    pub verdict: Verdict,
+}
+
+/// What was found.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Report {
+    /// Whether some machine that the catalogue offers, or that is listed, could run the job.
+    pub possible: bool,
+    /// The smallest set of rules that clash, if it is not possible.
+    pub clash: Vec<String>,
+    /// Machine by machine.
+    pub machines: Vec<Judgement>,
+}
+
+/// What the job finds on a machine.
+struct Found<'a> {
+    machine: &'a Machine,
+    image: &'a str,
+    beside: Vec<(&'a str, Subject<'a>)>,
+}
+
+impl Now for Found<'_> {
+    fn holds_own(&self) -> bool {
+        self.machine.images.iter().any(|i| i == self.image)
+    }
+
+    fn holds(&self, images: &Words) -> bool {
+        self.machine.images.iter().any(|i| images.contains(i))
+    }
+
+    fn beside(&self, field: Field, words: &Words) -> bool {
+        self.beside.iter().any(|(name, job)| {
+            words.contains(match field {
+                Field::Lane => job.lane,
+                Field::Crew => job.crew,
+                Field::Image => job.image,
+                Field::Urgency => job.urgency,
+                Field::Job => name,
+            })
+        })
+    }
+}
+
+impl Resident {
+    fn subject(&self) -> Subject<'_> {
+        Subject { lane: &self.lane, crew: &self.crew, image: &self.bundle, urgency: &self.urgency }
+    }
+}
+
+/// Rules of jobs that are on a machine which keep another from coming there.
+fn kept_away(m: &Machine, set: &RuleSet, own: (&str, Subject<'_>), class: &Class, catalog: &Catalog) -> Vec<String> {
+    let Some(traits) = admission::traits(class, &[Arc::new(set.clone())], catalog) else { return Vec::new() };
+    let mut away = Vec::new();
+    for (i, there) in m.jobs.iter().enumerate() {
+        let others = m.jobs.iter().enumerate().filter(|(j, _)| *j != i).map(|(_, r)| (r.name_id.as_str(), r.subject()));
+        let found = Found { machine: m, image: &there.bundle, beside: others.chain([own]).collect() };
+        let job = there.subject();
+        let asks = |r: &&Rule| r.is_hard() && r.expr.asks_beside();
+        for rule in set.concerning(&job).filter(asks) {
+            let alone = Found { machine: m, image: &there.bundle, beside: vec![own] };
+            let mut about = false;
+            rule.expr.tests(&mut |t| about |= matches!(t, Expr::Beside(f, w) if alone.beside(*f, w)));
+            if about && !rule.expr.holds(&traits[0], &found) {
+                away.push(format!("{} of {}", rule.name, there.name_id));
+            }
+        }
+    }
+    away
+}
+
+fn against(spec: &JobSpec, m: &Machine, catalog: &Catalog) -> Vec<String> {
+    let kind = catalog.get(&m.build);
+    let found = [
+        (spec.builds.as_ref().is_some_and(|b| !b.contains(&m.build)), "submission: builds"),
+        (spec.yard.as_ref().is_some_and(|y| *y != m.yard), "submission: yard"),
+        (m.loaners && !spec.loaners, "submission: loaners"),
+        (kind.is_none(), "its type is not in the catalogue"),
+        (kind.is_some_and(|t| !spec.need.fits(&t.room)), "submission: size of a task"),
+    ];
+    found.into_iter().filter(|(fails, _)| *fails).map(|(_, what)| what.to_owned()).collect()
+}
+
+/// Judges every machine of a file. The error is one line.
+pub fn report(rules: &[u8], job: &[u8], machines: &[u8]) -> Result<Report, String> {
+    let set = Arc::new(RuleSet::parse(rules).map_err(|e| format!("rules: {e}"))?);
+    let (id, spec) = parse_submission(job).map_err(|e| format!("job: {e}"))?;
+    let file: MachinesFile = serde_json::from_slice(machines).map_err(|e| format!("machines: {e}"))?;
+    let body = file.catalog.to_string().into_bytes();
+    let catalog = match cloud::parse(&CloudRequest::Catalog, 200, &body) {
+        Ok(CloudReply::Catalog(c)) => c,
+        _ => return Err("machines: catalog: not as the cloud answers".to_owned()),
+    };
+    for rule in &spec.rules {
+        rule.check(&set.vocabulary).map_err(|e| format!("job: {e}"))?;
+    }
+    let sets = [Arc::clone(&set)];
+    let labelled = admission::labelled(&sets);
+    let own = (id.to_string(), subject(&spec));
+    let mut judged = Vec::new();
+    let mut classes = Classes::default();
+    classes.label(labelled.clone(), std::iter::empty());
+    classes.offer(&catalog);
+    for m in &file.machines {
+        let machine = m.host.parse().ok().filter(|id| labelled.contains(id));
+        let class = Class { build: m.build.as_str().into(), yard: m.yard.as_str().into(), spot: m.loaners, machine };
+        let traits = admission::traits(&class, &sets, &catalog).map(|mut t| t.remove(0)).unwrap_or_default();
+        let beside = m.jobs.iter().filter(|r| r.name_id != own.0).map(|r| (r.name_id.as_str(), r.subject())).collect();
+        let found = Found { machine: m, image: &spec.bundle, beside };
+        let verdict = explain(set.concerning(&own.1).chain(&spec.rules), &traits, &found);
+        let mut against = against(&spec, m, &catalog);
+        against.extend(kept_away(m, &set, (own.0.as_str(), own.1), &class, &catalog));
+        judged.push(Judgement {
+            host: m.host.clone(),
+            allowed: verdict.allowed && against.is_empty(),
+            against,
+            verdict,
+        });
+        if let Ok(id) = m.host.parse() {
+            classes.come(id, class);
+        }
+    }
+    let traits: Vec<_> = classes.all().iter().map(|c| admission::traits(c, &sets, &catalog)).collect();
+    let admission = Admission::of(&spec, &sets, &traits).unwrap_or_default();
+    let clash = clash(&spec, &admission, &sets, &classes, &catalog);
+    Ok(Report { possible: clash.is_none(), clash: clash.unwrap_or_default(), machines: judged })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,5 +11,6 @@
 
 pub mod bookkeeping;
 pub mod coordination;
+pub mod explain;
 pub mod protocol;
 pub mod transport;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,10 +2,14 @@
 
 use clap::{Parser, Subcommand};
 use cometlead::coordination::Controller;
+use cometlead::explain::Report;
 use cometlead::protocol::operator::OperatorSettings;
 use cometlead::protocol::settings::Settings;
 use cometlead::transport::node::Node;
 use cometlead::transport::{peers, server};
+use cometlead_constraints::RuleSet;
+use comfy_table::Table;
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use tracing::level_filters::LevelFilter;
@@ -34,19 +38,82 @@
     },
     /// Prints the schema of the operators' own settings.
     Schema,
+    /// Rules for where jobs run: checks a file, explains what it makes of a job.
+    #[command(subcommand)]
+    Rules(RulesCommand),
+}
+
+/// What is done with rules.
+#[derive(Subcommand)]
+enum RulesCommand {
+    /// Checks a rules file; what is wrong is named with its place.
+    Check {
+        /// The rules file (JSON, see `rules schema`).
+        file: String,
+    },
+    /// Tells machine by machine which rules a job would meet, clause by clause. Exits with 0 if some machine
+    /// could run the job, with 3 if the rules make that impossible, and with 1 if a file cannot be read.
+    Explain {
+        /// The rules file.
+        #[arg(long, value_name = "FILE")]
+        rules: String,
+        /// The job, as `POST /work` takes it.
+        #[arg(long, value_name = "FILE")]
+        job: String,
+        /// The cloud's catalogue, and machines with what is on them:
+        /// `{"catalog": …, "machines": [{"host", "build", "yard", "loaners", "images", "jobs"}]}`.
+        #[arg(long, value_name = "FILE")]
+        machines: String,
+        /// Prints JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Prints the schema of rules files.
+    Schema,
+}
+
+/// The exit status for a job that no machine could run.
+const IMPOSSIBLE: u8 = 3;
+
+fn read(path: &str) -> Result<Vec<u8>, String> {
+    std::fs::read(path).map_err(|e| format!("{path}: {e}"))
 }
 
 fn operator_settings(path: Option<&str>) -> Result<OperatorSettings, String> {
     let Some(path) = path else {
         return Ok(OperatorSettings::default());
     };
-    let text = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
-    OperatorSettings::parse(&text).map_err(|e| format!("{path}: {e}"))
+    OperatorSettings::parse(&read(path)?).map_err(|e| format!("{path}: {e}"))
 }
 
-fn load(cli: &Cli, config: Option<&str>) -> Result<(Option<Settings>, OperatorSettings), String> {
+/// The rules that the settings name.
+fn rules(settings: Option<&str>, operator: &OperatorSettings) -> Result<Option<Arc<RuleSet>>, String> {
+    let (Some(settings), Some(rules)) = (settings, &operator.rules) else { return Ok(None) };
+    let path = Path::new(settings).parent().unwrap_or(Path::new("")).join(rules);
+    let path = path.to_string_lossy();
+    Ok(Some(Arc::new(RuleSet::parse(&read(&path)?).map_err(|e| format!("{path}: {e}"))?)))
+}
+
+/// All that a controller is started with.
+struct Loaded {
+    settings: Option<Settings>,
+    operator: OperatorSettings,
+    rules: Option<Arc<RuleSet>>,
+}
+
+fn load(cli: &Cli, config: Option<&str>) -> Result<Loaded, String> {
     let settings = config.map(Settings::load).transpose().map_err(|e| e.to_string())?;
-    Ok((settings, operator_settings(cli.settings.as_deref())?))
+    let operator = operator_settings(cli.settings.as_deref())?;
+    let rules = rules(cli.settings.as_deref(), &operator)?;
+    if let (Some(settings), Some(rules)) = (&settings, &rules) {
+        // They are kept as one value at the state service, under whichever limits hold.
+        let bytes = serde_json::to_vec(&**rules).map_or(usize::MAX, |v| v.len());
+        let most = settings.limits.value_bytes.min(settings.next_limits.value_bytes);
+        if bytes > most {
+            return Err(format!("rules: the file takes {bytes} bytes, the state service keeps {most} in one value"));
+        }
+    }
+    Ok(Loaded { settings, operator, rules })
 }
 
 fn start_log() {
@@ -63,14 +130,14 @@
         .init();
 }
 
-fn run(settings: Settings, operator: OperatorSettings) -> Result<(), String> {
+fn run(settings: Settings, operator: OperatorSettings, rules: Option<Arc<RuleSet>>) -> Result<(), String> {
     start_log();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     runtime.block_on(async {
         let settings = Arc::new(settings);
         let seed = rand::random();
         tracing::info!(node = settings.node, run = format!("{seed:016x}"), "starting");
-        let node = Node::new(Controller::new(Arc::clone(&settings), operator, seed), &settings);
+        let node = Node::new(Controller::new(Arc::clone(&settings), operator, seed).with_rules(rules), &settings);
         // Of the sockets, a quarter is for calls to others, and some for the peers.
         let serving = settings.connections / 2;
         tokio::spawn(server::serve(Arc::clone(&node), settings.bind, serving));
@@ -83,12 +150,72 @@
     Ok(())
 }
 
-fn act(cli: &Cli) -> Result<(), String> {
+fn yes(is: bool) -> String {
+    (if is { "yes" } else { "no" }).to_owned()
+}
+
+fn explain(report: &Report) -> String {
+    let mut table = Table::new();
+    table
+        .load_preset(comfy_table::presets::NOTHING)
+        .set_header(["machine", "may run", "worth", "rule", "met", "clause"]);
+    for m in &report.machines {
+        let mut rows: Vec<[String; 3]> = Vec::new();
+        for f in &m.verdict.findings {
+            let mut rule = match f.weight {
+                None => f.rule.clone(),
+                Some(weight) => format!("{} (prefers, {weight})", f.rule),
+            };
+            for c in &f.clauses {
+                rows.push([std::mem::take(&mut rule), yes(c.met), c.text.clone()]);
+            }
+        }
+        rows.extend(m.against.iter().map(|what| [what.clone(), yes(false), String::new()]));
+        if rows.is_empty() {
+            rows.push(Default::default());
+        }
+        let mut head = [m.host.clone(), yes(m.allowed), m.verdict.worth.to_string()];
+        for row in rows {
+            table.add_row(std::mem::take(&mut head).into_iter().chain(row));
+        }
+    }
+    let end = if report.possible {
+        "possible".to_owned()
+    } else {
+        format!("impossible: no machine that could be had meets all of: {}", report.clash.join(", "))
+    };
+    format!("{table}\n{end}")
+}
+
+fn act_on_rules(command: &RulesCommand) -> Result<ExitCode, String> {
+    match command {
+        RulesCommand::Check { file } => {
+            let set = RuleSet::parse(&read(file)?).map_err(|e| format!("{file}: {e}"))?;
+            println!("ok: {} rules, version {:016x}", set.rules.len(), set.digest);
+        }
+        RulesCommand::Schema => println!("{}", RuleSet::schema()),
+        RulesCommand::Explain { rules, job, machines, json } => {
+            let report = cometlead::explain::report(&read(rules)?, &read(job)?, &read(machines)?)?;
+            if *json {
+                println!("{}", serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?);
+            } else {
+                println!("{}", explain(&report));
+            }
+            if !report.possible {
+                return Ok(ExitCode::from(IMPOSSIBLE));
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn act(cli: &Cli) -> Result<ExitCode, String> {
     match &cli.command {
         Some(Command::Schema) => {
             println!("{}", OperatorSettings::schema());
-            Ok(())
+            Ok(ExitCode::SUCCESS)
         }
+        Some(Command::Rules(command)) => act_on_rules(command),
         Some(Command::Check { config }) => {
             let config = config.as_deref().or(cli.config.as_deref());
             if config.is_none() && cli.settings.is_none() {
@@ -96,10 +223,12 @@
             }
             load(cli, config)?;
             println!("ok");
-            Ok(())
+            Ok(ExitCode::SUCCESS)
         }
         None => match load(cli, cli.config.as_deref())? {
-            (Some(settings), operator) => run(settings, operator),
+            Loaded { settings: Some(settings), operator, rules } => {
+                run(settings, operator, rules).map(|()| ExitCode::SUCCESS)
+            }
             _ => Err("--config FILE is missing; see --help".to_owned()),
         },
     }
@@ -107,7 +236,7 @@
 
 fn main() -> ExitCode {
     match act(&Cli::parse()) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(status) => status,
         Err(problem) => {
             eprintln!("cometlead: {problem}");
             ExitCode::FAILURE
--- a/src/protocol/operator.rs
+++ b/src/protocol/operator.rs
@@ -22,11 +22,15 @@
     /// from what its next boot would cost.
     #[schemars(range(min = 1.0, max = 86_400.0))]
     pub idle_s: Option<f64>,
+    /// A file with rules for where jobs run (see `cometlead rules schema`), beside the settings file unless
+    /// its path is absolute. Absent: no rules, and jobs may bring none.
+    #[schemars(length(min = 1))]
+    pub rules: Option<String>,
 }
 
 impl Default for OperatorSettings {
     fn default() -> Self {
-        OperatorSettings { slices: None, round_ms: 150, node_lease_ms: 2_000, idle_s: None }
+        OperatorSettings { slices: None, round_ms: 150, node_lease_ms: 2_000, idle_s: None, rules: None }
     }
 }
 
@@ -41,6 +45,7 @@
         check("round_ms", (10..=10_000).contains(&s.round_ms), "10 to 10000")?;
         check("node_lease_ms", (1_000..=60_000).contains(&s.node_lease_ms), "1000 to 60000")?;
         check("idle_s", s.idle_s.is_none_or(|t| (1.0..=86_400.0).contains(&t)), "1 to 86400")?;
+        check("rules", s.rules.as_ref().is_none_or(|r| !r.is_empty()), "the path of a file")?;
         Ok(s)
     }
 
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -253,6 +253,8 @@
         Key::Usage(_) => Content::Usage(serde_json::from_str(text).ok()?),
         Key::Job(_) => Content::Job(serde_json::from_str(text).ok()?),
         Key::Chunk(..) => Content::Chunk(serde_json::from_str(text).ok()?),
+        // What is not understood is still known to be there.
+        Key::Rules(_) => Content::Rules(serde_json::from_str(text).ok().map(std::sync::Arc::new)),
         Key::Final(_) => return None,
     })
 }
--- a/src/protocol/user.rs
+++ b/src/protocol/user.rs
@@ -4,8 +4,11 @@
 use crate::bookkeeping::ids::JobId;
 use crate::bookkeeping::job::{JobSpec, Urgency};
 use crate::bookkeeping::time::Micros;
+use cometlead_constraints::rules::{BadRules, RuleText, read_own};
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use thiserror::Error;
 
 /// Largest request body.
@@ -24,6 +27,9 @@
     /// A field's value is not allowed.
     #[error("{0}: invalid")]
     Field(&'static str),
+    /// The rules that it brings.
+    #[error("rules: {0}")]
+    Rules(#[from] BadRules),
 }
 
 #[derive(Deserialize)]
@@ -50,6 +56,7 @@
     stash_s: f64,
     due_s: Option<f64>,
     awaits: Option<Vec<String>>,
+    rules: Option<Vec<RuleText>>,
 }
 
 /// Reads a submission strictly.
@@ -76,6 +83,7 @@
     let awaits = awaits.map_err(|_| BadSubmission::Field("awaits"))?.into_iter().collect();
     let spec = JobSpec {
         awaits,
+        rules: read_own(&s.rules.unwrap_or_default())?,
         lane: text("lane", s.lane)?,
         crew: text("crew", s.crew)?,
         standing: match s.shape.as_str() {
@@ -127,7 +135,7 @@
 }
 
 /// An answer about a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobAnswer {
     /// The job.
     pub id: JobId,
@@ -137,6 +145,8 @@
     pub done: u32,
     /// Booked tasks.
     pub running: u32,
+    /// Why it waits, if that is for rules of where it may run.
+    pub reason: Option<Arc<str>>,
 }
 
 #[derive(Serialize)]
@@ -146,13 +156,20 @@
     status: JobStatus,
     done: u32,
     running: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<String>,
 }
 
 impl JobAnswer {
     /// The body.
     pub fn body(&self) -> Vec<u8> {
-        let answer =
-            Answer { name_id: self.id.to_string(), status: self.status, done: self.done, running: self.running };
+        let answer = Answer {
+            name_id: self.id.to_string(),
+            status: self.status,
+            done: self.done,
+            running: self.running,
+            reason: self.reason.as_deref().map(str::to_owned),
+        };
         serde_json::to_vec(&answer).unwrap_or_default()
     }
 }
@@ -187,9 +204,9 @@
     /// 404.
     Unknown,
     /// 422, and why.
-    Never(&'static str),
+    Never(Cow<'static, str>),
     /// 400, and why.
-    Bad(&'static str),
+    Bad(Cow<'static, str>),
     /// 503: cannot be decided here and now; come back after that many seconds.
     Later(u32),
 }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -10,6 +10,7 @@
 use crate::protocol::user::{UserAnswer, UserRequest};
 use crate::protocol::worker::{Report, ReportAnswer};
 use crate::protocol::{cloud, state};
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, oneshot, watch};
@@ -103,7 +104,7 @@
     }
 
     /// A malformed submission that names a job.
-    pub async fn bad_submission(self: &Arc<Self>, job: JobId, why: &'static str) -> UserAnswer {
+    pub async fn bad_submission(self: &Arc<Self>, job: JobId, why: Cow<'static, str>) -> UserAnswer {
         self.ask(|call| Event::BadSubmission(call, job, why)).await
     }
 
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -7,6 +7,7 @@
 use salvo::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use salvo::http::{ReqBody, StatusCode};
 use salvo::prelude::*;
+use std::borrow::Cow;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -81,9 +82,10 @@
             Ok((id, spec)) => self.node.user(UserRequest::Submit(id, Box::new(spec))).await,
             Err(problem) => {
                 // A job that was accepted stays accepted, whatever a retry looks like.
-                let why = match &problem {
-                    BadSubmission::Field(field) => field,
-                    BadSubmission::Malformed(_) => "body",
+                let why: Cow<'static, str> = match &problem {
+                    BadSubmission::Field(field) => (*field).into(),
+                    BadSubmission::Malformed(_) => "body".into(),
+                    BadSubmission::Rules(_) => problem.to_string().into(),
                 };
                 match named_job(body) {
                     Some(id) => self.node.bad_submission(id, why).await,
@@ -170,8 +172,8 @@
         UserAnswer::Accepted(a) => json(res, StatusCode::CREATED, a.body()),
         UserAnswer::Is(a) => json(res, StatusCode::OK, a.body()),
         UserAnswer::Unknown => problem(res, StatusCode::NOT_FOUND, "no such job"),
-        UserAnswer::Never(why) => problem(res, StatusCode::UNPROCESSABLE_ENTITY, why),
-        UserAnswer::Bad(why) => problem(res, StatusCode::BAD_REQUEST, why),
+        UserAnswer::Never(why) => problem(res, StatusCode::UNPROCESSABLE_ENTITY, &why),
+        UserAnswer::Bad(why) => problem(res, StatusCode::BAD_REQUEST, &why),
         UserAnswer::Later(seconds) => {
             res.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
             problem(res, StatusCode::SERVICE_UNAVAILABLE, "not now");
--- a/tests/production.rs
+++ b/tests/production.rs
@@ -35,6 +35,7 @@
         Key::Chunk(..) => pass::<frozen::Finished>(text),
         Key::Final(_) => pass::<frozen::FinalRecord>(text),
         Key::Types => serde_json::from_str(text).ok(),
+        Key::Rules(_) => None,
     }
 }
 
@@ -54,6 +55,7 @@
         Content::Usage(r) => encode(&r),
         Content::Job(r) => encode(&*r),
         Content::Chunk(r) => encode(&r),
+        Content::Rules(r) => encode(&*r?),
     };
     serde_json::from_str(written?.get()).ok()
 }
--- a/tests/runner/check.rs
+++ b/tests/runner/check.rs
@@ -1,6 +1,8 @@
 //! Judges what workers do and what users are told, by the protocol's rules alone.
 
+use super::laws::Laws;
 use super::worker::{Deed, Task, task_name};
+use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a user asked for, as far as the rules need it.
@@ -16,6 +18,10 @@
     pub spot: bool,
     pub one_zone: bool,
     pub apart: bool,
+    pub image: String,
+    pub urgency: String,
+    /// Rules that it brought.
+    pub rules: Option<Value>,
 }
 
 #[derive(Clone, Debug)]
@@ -51,6 +57,13 @@
     failing: BTreeMap<u64, (u64, u64)>,
     pub polls: (u64, u64),
     pub started: u64,
+    /// Rules for where jobs run.
+    pub laws: Laws,
+    /// Where the tasks of each job were started.
+    pub places: BTreeMap<u64, Vec<MachineInfo>>,
+    /// What users were told of jobs that were refused, and of those that wait.
+    pub refusals: BTreeMap<u64, String>,
+    pub reasons: BTreeMap<u64, BTreeSet<String>>,
 }
 
 impl Checker {
@@ -115,6 +128,12 @@
                     || info.spot && !asked.spot
                     || asked.one_zone && zones.len() > 1
                     || asked.apart && zones.values().any(|n| *n > asked.pieces.div_ceil(2));
+                self.places.entry(t.0).or_default().push(info.clone());
+                let beside: BTreeSet<u64> =
+                    self.on.iter().filter(|(o, m)| **m == machine && o.0 != t.0).map(|(o, _)| o.0).collect();
+                if let Some(rule) = self.laws.broken(now, &self.asked, t.0, (machine, info), &beside) {
+                    self.rule(now, format!("rule_broken: {rule}: {} on {machine} {info:?}", task_name(*t)));
+                }
                 if wrong {
                     self.rule(now, format!("wrong_place: {} on {machine} {info:?} {zones:?}", task_name(*t)));
                 }
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod check;
 pub mod cloud;
+pub mod laws;
 mod machines;
 pub mod script;
 pub mod state;
@@ -13,7 +14,7 @@
 pub mod worker;
 
 use check::{Checker, MachineInfo};
-use cometlead::bookkeeping::records::{FIRST_LAYOUT, LAYOUT};
+use cometlead::bookkeeping::records::{FIRST_LAYOUT, LAYOUT, RULED};
 use cometlead::bookkeeping::time::Micros;
 use cometlead::coordination::{CallId, Controller, Counters, Effect, Event, Now};
 use cometlead::protocol::cloud as cloud_wire;
@@ -21,8 +22,9 @@
 use cometlead::protocol::settings::Settings;
 use cometlead::protocol::state as state_wire;
 use cometlead::protocol::state::{CallError, StateRequest};
-use cometlead::protocol::user::{UserAnswer, UserRequest, parse_submission};
+use cometlead::protocol::user::{JobAnswer, UserAnswer, UserRequest, parse_submission};
 use cometlead::protocol::worker::{Report, ReportAnswer, elsewhere_body, orders_body};
+use cometlead_constraints::RuleSet;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use script::{Mode, Party, Script, Step};
@@ -176,6 +178,8 @@
     newer: BTreeSet<usize>,
     /// Controllers that start with the version before.
     old: BTreeSet<usize>,
+    /// The rules that each controller has, or had before it went down.
+    rules: Vec<Option<String>>,
 }
 
 fn settings(s: &Script, n: usize) -> Arc<Settings> {
@@ -235,8 +239,10 @@
             throttles: 0,
             newer: BTreeSet::new(),
             old: (0..script.nodes).filter(|_| script.old).collect(),
+            rules: vec![script.with.clone(); script.nodes],
             script,
         };
+        w.check.laws = laws::Laws::new(&w.script);
         if let Some(file) = &w.script.records {
             let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/production").join(file);
             let records: BTreeMap<String, Value> =
@@ -275,7 +281,12 @@
         let seed = self.rng.random();
         let operator = OperatorSettings { slices: self.script.slices, ..OperatorSettings::default() };
         let layout = if self.old.contains(&n) { FIRST_LAYOUT } else { LAYOUT };
-        let controller = Controller::new(Arc::clone(&self.settings[n]), operator, seed).understanding(layout);
+        let rules = self.rules[n].as_ref().filter(|_| layout == LAYOUT).map(|name| {
+            let file = serde_json::from_value(self.script.rules[name].clone()).expect("rules");
+            Arc::new(RuleSet::of(file).expect("rules"))
+        });
+        let controller = Controller::new(Arc::clone(&self.settings[n]), operator, seed);
+        let controller = controller.understanding(layout).with_rules(rules);
         self.nodes[n] = Some(Node {
             controller,
             life: self.lives,
@@ -369,6 +380,13 @@
                 Effect::User(call, answer) => {
                     let wait = self.nodes[n].as_mut().and_then(|x| x.waits.remove(&call));
                     if let Some((user, attempt)) = wait {
+                        let job = self.users[user].job;
+                        if let UserAnswer::Never(why) = &answer {
+                            self.check.refusals.insert(job, why.to_string());
+                        }
+                        if let UserAnswer::Is(JobAnswer { reason: Some(why), .. }) = &answer {
+                            self.check.reasons.entry(job).or_default().insert(why.to_string());
+                        }
                         let (status, state) = match answer {
                             UserAnswer::Accepted(a) => (201, Some(a)),
                             UserAnswer::Is(a) => (200, Some(a)),
@@ -623,6 +641,10 @@
                 let (rate, size, ops) = self.script.next.expect("next limits");
                 self.state.lower(rate, (size * 1024.0) as usize, ops);
             }
+            Step::Rules { node, name, down } => {
+                self.rules[node] = name;
+                self.crash(node, down);
+            }
             Step::Change { node, down, new } => {
                 if new {
                     self.old.remove(&node);
@@ -711,6 +733,8 @@
                 }
                 Happening::Sweep => {
                     self.check.sweep(self.now);
+                    let ruled = self.state.values("c/meta").any(|(_, v)| v["layout"].as_u64() >= Some(RULED.into()));
+                    self.check.laws.note(self.now, ruled, &self.rules);
                     self.recorded();
                     self.at(self.now + 1_000_000, Happening::Sweep);
                 }
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -121,6 +121,12 @@
         rate: f64,
         span: u64,
     },
+    /// A controller ends, and comes back with these rules, or none.
+    Rules {
+        node: usize,
+        name: Option<String>,
+        down: u64,
+    },
     /// A later deploy file has this team; controllers that start from now on read it.
     Team {
         name: String,
@@ -169,6 +175,20 @@
     Follows(u64, u64),
     /// A job's first task started before any of another's.
     Before(u64, u64),
+    /// It was refused as impossible, and the answer names this.
+    Refused(u64, String),
+    /// Some answer said that it waits, and named this.
+    Reason(u64, String),
+    /// So many of its tasks, as a share, started in this zone or on this type of machine.
+    Ran {
+        job: u64,
+        place: String,
+        share: f64,
+    },
+    /// Its first task started after this time.
+    StartsAfter(u64, u64),
+    /// So many rounds clashed over what is beside, at least.
+    RulesKept(u64),
     /// Of the polls, this share was answered with a state, or that there is no such job.
     Polled(f64),
 }
@@ -210,6 +230,13 @@
     pub load: u32,
     pub teams: Vec<(String, f64, f64)>,
     pub types: Vec<TypeSpec>,
+    /// Rules files, and rules that jobs bring, by name.
+    pub rules: BTreeMap<String, serde_json::Value>,
+    pub own: BTreeMap<String, serde_json::Value>,
+    /// Rules that all controllers begin with.
+    pub with: Option<String>,
+    /// For how long after a change of rules starts are judged by neither.
+    pub grace: f64,
     pub steps: Vec<(u64, Step)>,
     pub expects: Vec<Expect>,
 }
@@ -259,9 +286,9 @@
     }
 }
 
-const JOB_FIELDS: [&str; 21] = [
-    "awaits", "pieces", "cores", "mem", "run", "guess", "team", "urgency", "due", "spot", "builds", "yard", "one_zone",
-    "apart", "image", "size", "shape", "fails", "lane", "bookmark", "stash",
+const JOB_FIELDS: [&str; 22] = [
+    "awaits", "rules", "pieces", "cores", "mem", "run", "guess", "team", "urgency", "due", "spot", "builds", "yard",
+    "one_zone", "apart", "image", "size", "shape", "fails", "lane", "bookmark", "stash",
 ];
 
 impl Script {
@@ -284,6 +311,10 @@
             load: 0,
             teams: Vec::new(),
             types: Vec::new(),
+            rules: BTreeMap::new(),
+            own: BTreeMap::new(),
+            with: None,
+            grace: 8.0,
             steps: Vec::new(),
             expects: Vec::new(),
         };
@@ -301,6 +332,14 @@
     }
 
     fn line(&mut self, line: &str) -> Result<(), String> {
+        // These two go on with JSON.
+        for (word, table) in [("rules ", &mut self.rules), ("own ", &mut self.own)] {
+            if let Some((name, json)) = line.strip_prefix(word).and_then(|rest| rest.split_once(' ')) {
+                let json = serde_json::from_str(json).map_err(|e| e.to_string())?;
+                table.insert(name.to_owned(), json);
+                return Ok(());
+            }
+        }
         let mut w = Words::of(line);
         let real = |t: &str| t.parse::<f64>().ok().filter(|v| *v >= 0.0);
         let whole = |t: &str| t.parse::<u64>().ok();
@@ -312,6 +351,8 @@
             "lease" => self.lease = w.word(1, real)?,
             "report" => self.report = w.word(1, real)?,
             "cancel" => self.cancel = w.word(1, real)?,
+            "grace" => self.grace = w.word(1, real)?,
+            "with" => self.with = Some(w.word(1, |t| Some(t.to_owned()))?),
             "lag" => self.lag = w.word(1, real)?,
             "value_kb" => self.value_kb = w.word(1, real)?,
             "slices" => self.slices = Some(w.word(1, whole)? as usize),
@@ -367,6 +408,15 @@
                         plain = 4;
                         Expect::Before(w.word(2, job)?, w.word(3, job)?)
                     }
+                    "refused" => Expect::Refused(w.word(2, job)?, w.need("naming", |t| Some(t.to_owned()))?),
+                    "reason" => Expect::Reason(w.word(2, job)?, w.need("naming", |t| Some(t.to_owned()))?),
+                    "ran" => Expect::Ran {
+                        job: w.word(2, job)?,
+                        place: w.need("on", |t| Some(t.to_owned()))?,
+                        share: w.need("share", real)?,
+                    },
+                    "starts-after" => Expect::StartsAfter(w.word(2, job)?, w.need("at", micros)?),
+                    "clashes-at-least" => Expect::RulesKept(w.word(2, whole)?),
                     "cancelled" => Expect::Cancelled(w.word(2, job)?),
                     "unknown" => Expect::Unknown(w.word(2, job)?),
                     "all-done" => Expect::AllDone,
@@ -503,6 +553,11 @@
             let down = w.need("for", micros)?;
             (Step::Change { node: w.word(3, node)?, down, new: kind == "upgrade" }, 4)
         }
+        "rules" => {
+            let name = w.word(4, |t| Some(t.to_owned()))?;
+            let name = Some(name).filter(|n| n != "none");
+            (Step::Rules { node: w.word(3, node)?, name, down: w.need("for", micros)? }, 5)
+        }
         "faulty" => (Step::Faulty { machine: w.word(3, machine)? }, 4),
         other => return Err(format!("unknown fault {other}")),
     })
--- a/tests/runner/users.rs
+++ b/tests/runner/users.rs
@@ -27,15 +27,21 @@
             spot: flag("spot", true),
             one_zone: flag("one_zone", false),
             apart: flag("apart", false),
+            image: text("image", "img"),
+            urgency: text("urgency", "standard"),
+            rules: f.get("rules").map(|name| self.script.own[name].clone()),
         };
         let shape = text("shape", "sweep");
-        let body = json!({"nameId": format!("req-{job:06}"), "lane": text("lane", "lane"), "crew": asked.team,
+        let mut body = json!({"nameId": format!("req-{job:06}"), "lane": text("lane", "lane"), "crew": asked.team,
             "shape": shape, "urgency": text("urgency", "standard"), "pieces": pieces, "cores": asked.cores,
             "accelerators": 0, "memGb": real("mem", 1.0), "builds": builds, "yard": asked.yard,
             "oneZone": asked.one_zone, "apart": asked.apart, "loaners": asked.spot, "bundle": text("image", "img"),
             "sizeGb": real("size", 0.5), "guessS": real("guess", run), "bookmarkS": real("bookmark", 0.0),
             "stashS": real("stash", 0.0), "dueS": f.get("due").map(|d| d.parse::<f64>().expect("a number")),
             "awaits": awaits});
+        if let Some(rules) = &asked.rules {
+            body["rules"] = rules.clone();
+        }
         let info = JobInfo {
             cores: asked.cores,
             mem: real("mem", 1.0),
--- a/tests/runner/verdict.rs
+++ b/tests/runner/verdict.rs
@@ -48,6 +48,19 @@
                     let first = &self.check.first_start;
                     first.get(a).is_some_and(|at| first.get(b).is_none_or(|other| at < other))
                 }
+                Expect::Refused(j, name) => {
+                    self.check.refusals.get(j).is_some_and(|why| why.contains(name)) && !self.check.is_accepted(*j)
+                }
+                Expect::Reason(j, name) => {
+                    self.check.reasons.get(j).is_some_and(|all| all.iter().any(|why| why.contains(name)))
+                }
+                Expect::Ran { job, place, share } => {
+                    let all = self.check.places.get(job).map_or(&[][..], |p| &p[..]);
+                    let good = all.iter().filter(|m| m.yard == *place || m.build == *place).count();
+                    !all.is_empty() && good as f64 >= all.len() as f64 * share
+                }
+                Expect::StartsAfter(j, at) => self.check.first_start.get(j).is_some_and(|t| t > at),
+                Expect::RulesKept(n) => self.counters.clashes >= *n,
                 Expect::Cancelled(j) => self.check.is_cancelled(*j),
                 Expect::Unknown(j) => !self.check.is_accepted(*j),
                 Expect::AllDone => self.check.open().is_empty(),
@@ -84,6 +97,8 @@
                     self.started_in_time("urgent", 2_000_000),
                     self.check.done(),
                 ));
+                let told = (&self.check.refusals, &self.check.reasons, &self.check.first_start);
+                bad.push(format!("refusals, reasons, first starts: {told:?}"));
             }
         }
         bad
