--- /dev/null
+++ b/benches/rules.rs
@@ -0,0 +1,181 @@
+//! What rules cost a plan: 2,000 machines and 500 waiting jobs, a fifth of them with rules, against the same
+//! jobs without any. Run with `cargo bench --bench rules`; not part of the tests.
+
+use cometlead::bookkeeping::admission::{Admission, ClassTraits, House, traits};
+use cometlead::bookkeeping::amount::Amount;
+use cometlead::bookkeeping::catalog::{Catalog, MachineType};
+use cometlead::bookkeeping::classes::{Class, Classes};
+use cometlead::bookkeeping::finished::Finished;
+use cometlead::bookkeeping::ids::{JobId, MachineId};
+use cometlead::bookkeeping::job::{JobRecord, JobSpec};
+use cometlead::bookkeeping::pipeline::Stage;
+use cometlead::bookkeeping::placement::{Ask, Groups, Rules, Slot, plan};
+use cometlead::bookkeeping::time::Micros;
+use cometlead::bookkeeping::view::Job;
+use cometlead_constraints::RuleSet;
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use std::collections::{BTreeMap, HashMap};
+use std::hint::black_box;
+use std::sync::Arc;
+
+const MACHINES: u64 = 2_000;
+const JOBS: u64 = 500;
+/// Most claims of a plan, as a controller's rounds have it.
+const CLAIMS: usize = 256;
+
+const RULES: &[u8] = br#"{"labels": {"types": {"large": {"fonts": ["latin", "oromo"]}, "small": {"fonts": ["latin"]}},
+    "zones": {"b": {"near": ["print"]}}}, "rules": [
+    {"name": "fonts", "for": {"lanes": ["ruled"]}, "require": "fonts has oromo or zone = b and memory >= 16 GB"},
+    {"name": "print", "for": {"lanes": ["ruled"]}, "prefer": "near has print", "weight": 5},
+    {"name": "apart", "for": {"crews": ["shy"]}, "require": "not beside lane masters"}]}"#;
+
+struct Cluster {
+    catalog: Catalog,
+    classes: Classes,
+    traits: Vec<ClassTraits>,
+    sets: Vec<Arc<RuleSet>>,
+    jobs: HashMap<JobId, Job>,
+    admissions: HashMap<JobId, Admission>,
+    order: Vec<JobId>,
+    images: Vec<Vec<(Arc<str>, u64)>>,
+}
+
+fn job(i: u64, beside: bool) -> Job {
+    let (lane, crew) = match i % 10 {
+        0 => ("ruled", "team"),
+        1 if beside => ("ruled", "shy"),
+        1 => ("ruled", "team"),
+        2 => ("masters", "team"),
+        _ => ("plain", "team"),
+    };
+    let text = format!(
+        r#"{{"l":"{lane}","w":"{crew}","u":"2","n":{},"r":{{"c":{}000,"m":1000}},"i":"img-{}","s":true,"g":9000000}}"#,
+        1 + i % 7,
+        1 + i % 4,
+        i % 40
+    );
+    let spec: JobSpec = serde_json::from_str(&text).expect("a job");
+    let record: JobRecord =
+        serde_json::from_value(serde_json::json!({"s": serde_json::to_value(&spec).expect("a job"), "t": i}))
+            .expect("");
+    let stage = Stage::alone(&spec);
+    Job { record, stamp: 1, chunks: BTreeMap::new(), ends: Finished::default(), stage }
+}
+
+impl Cluster {
+    fn new(beside: bool) -> Cluster {
+        let kind = |name: &str, cores: u64| MachineType {
+            name: name.to_owned(),
+            room: Amount { cores: cores * 1_000, accelerators: 0, memory: cores * 4_000 },
+            cache: 50_000,
+            fetch: 1_000,
+            price: cores * 100,
+            spot_price: cores * 40,
+            boot: Micros::secs(30),
+            zones: vec!["a".to_owned(), "b".to_owned()],
+        };
+        let catalog = Catalog { types: vec![kind("small", 8), kind("large", 32)] };
+        let mut classes = Classes::default();
+        classes.offer(&catalog);
+        for m in 0..MACHINES {
+            let build = if m % 5 == 0 { "large" } else { "small" };
+            let yard = if m % 2 == 0 { "a" } else { "b" };
+            let class = Class { build: build.into(), yard: yard.into(), spot: m % 3 > 0, machine: None };
+            classes.come(MachineId(m), class);
+        }
+        let sets = vec![Arc::new(RuleSet::parse(RULES).expect("rules"))];
+        let traits: Vec<ClassTraits> = classes.all().iter().map(|c| traits(c, &sets, &catalog)).collect();
+        let jobs: HashMap<JobId, Job> = (0..JOBS).map(|i| (JobId(i), job(i, beside))).collect();
+        let admissions =
+            jobs.iter().filter_map(|(id, j)| Some((*id, Admission::of(j.spec(), &sets, &traits)?))).collect();
+        let images = (0..MACHINES).map(|m| vec![(format!("img-{}", m % 40).into(), 500)]).collect();
+        Cluster { catalog, classes, traits, sets, jobs, admissions, order: (0..JOBS).map(JobId).collect(), images }
+    }
+
+    fn slots(&self, beside: bool) -> Vec<Slot<'_>> {
+        (0..MACHINES)
+            .map(|m| {
+                let class = self.classes.of(MachineId(m)).expect("a class");
+                let c = &self.classes.all()[class];
+                let t = self.catalog.get(&c.build).expect("a type");
+                // Half of the machines are full.
+                let left = if m % 2 == 0 { 0 } else { t.room.cores / (1 + m % 4) };
+                Slot {
+                    machine: MachineId(m),
+                    group: (m / 50) as usize,
+                    owner: (m % 3) as usize,
+                    build: &c.build,
+                    yard: &c.yard,
+                    spot: c.spot,
+                    price: t.price_of(c.spot),
+                    all: t.room,
+                    free: Amount { cores: left, ..t.room },
+                    kept: false,
+                    images: &self.images[m as usize],
+                    fetches: None,
+                    running: Vec::new(),
+                    class,
+                    guarded: beside && self.admissions.get(&JobId(m % JOBS)).is_some_and(Admission::asks_beside),
+                    there: if beside { vec![JobId(m % JOBS)] } else { Vec::new() },
+                }
+            })
+            .collect()
+    }
+
+    fn asks<'a>(&'a self, house: Option<&'a House<'a>>) -> Vec<Ask<'a>> {
+        let ask = |id: &JobId| {
+            let spec = self.jobs[id].spec();
+            let admission = self.admissions.get(id);
+            let rules = house.filter(|h| admission.is_some() || h.beside);
+            Ask {
+                job: *id,
+                spec,
+                urgency: spec.urgency,
+                tasks: (0..spec.pieces).collect(),
+                zones: BTreeMap::new(),
+                most: u64::MAX,
+                price_limit: u64::MAX,
+                owner: (id.0 % 3) as usize,
+                mine: true,
+                preempts: false,
+                guaranteed: false,
+                modest: false,
+                whole: false,
+                avoid: &[],
+                rules: rules.map(|house| Rules { house, admission, insisted: 0 }),
+            }
+        };
+        self.order.iter().map(ask).collect()
+    }
+}
+
+fn planned(c: &mut Criterion, name: &str, cluster: &Cluster, house: Option<&House<'_>>) {
+    let beside = house.is_some_and(|h| h.beside);
+    c.bench_function(name, |b| {
+        b.iter_batched(
+            || (cluster.slots(beside), cluster.asks(house), Groups { open: vec![false; 40], left: 11 }),
+            |(mut slots, mut asks, mut groups)| black_box(plan(&mut slots, &mut asks, &mut groups, CLAIMS)),
+            BatchSize::LargeInput,
+        );
+    });
+}
+
+fn plans(c: &mut Criterion) {
+    for beside in [false, true] {
+        let cluster = Cluster::new(beside);
+        let house = House { jobs: &cluster.jobs, admissions: &cluster.admissions, beside };
+        let what = if beside { "a fifth with rules, some of them about what is beside" } else { "a fifth with rules" };
+        planned(c, "no rules", &cluster, None);
+        planned(c, what, &cluster, Some(&house));
+    }
+    let cluster = Cluster::new(true);
+    c.bench_function("rules judged for 100 jobs, all classes", |b| {
+        b.iter(|| {
+            let of = |id: &JobId| Admission::of(cluster.jobs[id].spec(), &cluster.sets, &cluster.traits);
+            cluster.order.iter().filter_map(of).count()
+        });
+    });
+}
+
+criterion_group! { name = all; config = Criterion::default().sample_size(60); targets = plans }
+criterion_main!(all);
--- a/src/bookkeeping/admission.rs
+++ b/src/bookkeeping/admission.rs
@@ -92,6 +92,13 @@
     judged: Vec<Judged>,
 }
 
+impl Soft {
+    /// Whether machines of the class may meet it.
+    pub fn may_meet(&self, class: ClassId) -> bool {
+        self.judged.get(class).is_some_and(|j| *j != Judged::No)
+    }
+}
+
 /// Preferences, as bits by their place in [`Admission::soft`].
 pub type Insisted = u64;
 
@@ -213,11 +220,20 @@
 
     /// The preferences that are still waited for: from the weightiest on, each that some machine could meet
     /// together with the rules and those before it. `waits`: whether one with this wait is still worth it.
-    pub fn insists(&self, possible: &[ClassId], waits: &dyn Fn(Micros) -> bool) -> Insisted {
+    /// `in_time`: whether a machine of a class is up, or is up within this wait if it is hired.
+    pub fn insists(
+        &self,
+        possible: &[ClassId],
+        waits: &dyn Fn(Micros) -> bool,
+        in_time: &dyn Fn(ClassId, Micros) -> bool,
+    ) -> Insisted {
         let mut insisted = 0;
         for (i, s) in self.soft.iter().enumerate() {
             let with = insisted | 1 << i;
-            if s.wait > Micros::ZERO && waits(s.wait) && possible.iter().any(|c| self.may(*c, with)) {
+            if s.wait > Micros::ZERO
+                && waits(s.wait)
+                && possible.iter().any(|c| self.may(*c, with) && in_time(*c, s.wait))
+            {
                 insisted = with;
             }
         }
@@ -326,6 +342,8 @@
     pub fetches: Option<&'a str>,
     /// Jobs that have tasks there.
     pub there: &'a [JobId],
+    /// Whether rules of some of them ask what is beside, see [`House::guards`].
+    pub guarded: bool,
 }
 
 /// What a job finds on a machine.
@@ -371,6 +389,11 @@
 }
 
 impl House<'_> {
+    /// Whether rules of a job ask what is beside, so that others may have to stay away from where it is.
+    pub fn guards(&self, job: JobId) -> bool {
+        self.beside && self.admissions.get(&job).is_some_and(Admission::asks_beside)
+    }
+
     /// Whether rules let a task of a job on a machine: its own, and those of the jobs that are there.
     pub fn admits(
         &self,
@@ -381,7 +404,7 @@
     ) -> bool {
         let found = Found { house: self, site, job, image: &spec.bundle, comes: None };
         admission.is_none_or(|a| a.holds(site.class, insisted, &found))
-            && (!self.beside || site.there.iter().all(|other| *other == job || self.bears(*other, (job, spec), site)))
+            && (!site.guarded || site.there.iter().all(|other| *other == job || self.bears(*other, (job, spec), site)))
     }
 
     /// Whether the rules of a job that has tasks on a machine let another job come there.
--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -268,7 +268,9 @@
                 let offer = Offer { build: t.name.clone(), yard: zone.clone(), spot };
                 // There must still be something for it to do when it comes up.
                 let some = u128::from(d.spec.need.cores) * u128::from(d.run.0) * u128::from(per_machine) / 2;
-                let useful = backlog.cores == 0 || backlog.after(comes_up) >= some;
+                // A set that starts together needs room for all of it at once, however soon each task is done.
+                let together = d.spec.together();
+                let useful = together || backlog.cores == 0 || backlog.after(comes_up) >= some;
                 // What is dear is only for what would be late otherwise and will not be with it, and
                 // only if it does not take longer to come up than it works.
                 let late = backlog.drained() > d.slack && comes_up < d.slack && comes_up <= d.run;
--- a/src/bookkeeping/placement.rs
+++ b/src/bookkeeping/placement.rs
@@ -43,11 +43,19 @@
     pub class: ClassId,
     /// Jobs that have tasks there, where rules ask for them.
     pub there: Vec<JobId>,
+    /// Whether rules of some of them ask what is beside.
+    pub guarded: bool,
 }
 
 impl Slot<'_> {
     fn site(&self) -> Site<'_> {
-        Site { class: self.class, images: self.images, fetches: self.fetches, there: &self.there }
+        Site {
+            class: self.class,
+            images: self.images,
+            fetches: self.fetches,
+            there: &self.there,
+            guarded: self.guarded,
+        }
     }
 
     fn has_image(&self, name: &str) -> bool {
@@ -143,7 +151,12 @@
 
 impl Ask<'_> {
     fn takes(&self, s: &Slot<'_>) -> bool {
-        s.price <= self.price_limit && self.spec.allows(s.build, s.yard, s.spot) && self.admitted(s)
+        self.suits(s) && self.admitted(s)
+    }
+
+    /// Whether the machine is one that it asks for.
+    fn suits(&self, s: &Slot<'_>) -> bool {
+        s.price <= self.price_limit && self.spec.allows(s.build, s.yard, s.spot)
     }
 
     /// Whether rules let it on the machine.
@@ -151,6 +164,11 @@
         self.rules.is_none_or(|r| r.house.admits((self.job, self.spec), r.admission, r.insisted, s.site()))
     }
 
+    /// The same, as far as the machine's class tells.
+    fn class_admitted(&self, s: &Slot<'_>) -> bool {
+        self.rules.and_then(|r| r.admission.map(|a| (a, r.insisted))).is_none_or(|(a, i)| a.may(s.class, i))
+    }
+
     /// How much its preferences make of the machine.
     fn worth(&self, s: &Slot<'_>) -> u32 {
         self.rules.map_or(0, |r| r.house.worth((self.job, self.spec), r.admission, s.site()))
@@ -160,6 +178,7 @@
     fn comes_to(&self, s: &mut Slot<'_>) {
         if self.rules.is_some_and(|r| r.house.beside) && !s.there.contains(&self.job) {
             s.there.push(self.job);
+            s.guarded |= self.rules.is_some_and(|r| r.house.guards(self.job));
         }
     }
 }
@@ -281,21 +300,10 @@
             continue;
         }
         let begun = claims.len();
-        // The places that a set likes best may lie in too many records; what must hold holds all the same.
-        let likes = ask.whole && ask.rules.and_then(|r| r.admission).is_some_and(|a| !a.soft.is_empty());
-        let before = likes.then(|| (groups.clone(), ask.zones.clone()));
-        place_job(slots, &live, ask, groups, most, &mut claims, true);
-        let mut placed = claims.len() - begun;
+        place_job(slots, &live, ask, groups, most, &mut claims);
+        let placed = claims.len() - begun;
         if ask.whole && placed < ask.tasks.len() {
             take_back(slots, ask, &mut claims, begun);
-            if let Some(before) = before {
-                (*groups, ask.zones) = before;
-                place_job(slots, &live, ask, groups, most, &mut claims, false);
-                placed = claims.len() - begun;
-                if placed < ask.tasks.len() {
-                    take_back(slots, ask, &mut claims, begun);
-                }
-            }
         }
         keep(slots, &live, ask, (ask.tasks.len() - placed) as u64);
         if !ask.mine {
@@ -324,7 +332,6 @@
     groups: &mut Groups,
     most: usize,
     claims: &mut Vec<Claim>,
-    by_worth: bool,
 ) {
     let mut zone = ask.zones.keys().next().copied().filter(|_| ask.spec.one_zone);
     if ask.spec.one_zone && zone.is_none() {
@@ -332,9 +339,10 @@
     }
     let fits = |s: &Slot<'_>| {
         ask.spec.need.fits(&s.free)
-            && ask.takes(s)
+            && ask.suits(s)
             && zone.is_none_or(|z| z == s.yard)
             && (!ask.mine || groups.may(s.group))
+            && ask.class_admitted(s)
     };
     // What preferences make of it, then the image's machine, else the fullest that fits. Among machines alike in this, those that this
     // controller answers come first: their tasks' ends then go out with its own claims.
@@ -342,7 +350,7 @@
         let avoided = ask.avoid.contains(&s.machine);
         let far = s.owner != ask.owner;
         let new = !groups.open[s.group];
-        let worth = if by_worth { ask.worth(s) } else { 0 };
+        let worth = ask.worth(s);
         (
             avoided,
             Reverse(worth),
@@ -365,7 +373,8 @@
             return;
         };
         let slot = &mut slots[at];
-        if ask.mine && !groups.take(slot.group) {
+        // What is on it now is only looked at once its turn has come: most machines' never does.
+        if !ask.admitted(slot) || ask.mine && !groups.take(slot.group) {
             continue;
         }
         let before = claims.len();
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -192,7 +192,7 @@
             if count > 0 {
                 let Ok(places) = self.places_for(*id, j) else { continue };
                 let slack = self.latest_start(j).since(self.now.day);
-                let price_limit = self.price_limit(*id, j);
+                let price_limit = self.price_limit(j);
                 demands.push(Demand { spec, count, slack, run: spec.guess, price_limit, places });
             }
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -144,6 +144,8 @@
     pub refused: u64,
     /// Slices taken over.
     pub takeovers: u64,
+    /// Bookings of jobs with preferences, and those of them whose machines meet the weightiest.
+    pub wishes: (u64, u64),
     /// Changes of groups, usage, jobs and their chunks, and ends of jobs in its rounds.
     pub changes: Changes,
 }
@@ -349,6 +351,8 @@
                 usage = c.changes.usage,
                 jobs = c.changes.jobs,
                 ends = c.changes.ends,
+                wishes = c.wishes.0,
+                wishes_met = c.wishes.1,
                 waiting = self.rounds.waiting(),
                 polls = polls.answered,
                 polls_delayed = polls.delayed,
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -533,6 +533,10 @@
                 // A machine that the draft adds is planned on in the next round.
                 let r = self.view.machine(machine)?;
                 let t = self.view.machine_type(&r.build)?;
+                let there = match house {
+                    Some(h) if h.beside => draft.machine(machine).map_or(Vec::new(), |r| jobs_there(&r.tasks)),
+                    _ => Vec::new(),
+                };
                 Some(Slot {
                     machine,
                     group,
@@ -548,10 +552,8 @@
                     fetches: None,
                     running: Vec::new(),
                     class: house.and_then(|_| self.view.classes.of(machine)).unwrap_or_default(),
-                    there: match house {
-                        Some(h) if h.beside => draft.machine(machine).map_or(Vec::new(), |r| jobs_there(&r.tasks)),
-                        _ => Vec::new(),
-                    },
+                    guarded: house.is_some_and(|h| there.iter().any(|j| h.guards(*j))),
+                    there,
                 })
             })
             .collect();
@@ -662,7 +664,7 @@
                 tasks,
                 zones: if spec.one_zone || spec.apart { self.zones_of(id) } else { BTreeMap::new() },
                 most,
-                price_limit: if suspect { self.fair_price(id, spec) } else { self.price_limit_among(id, job, &kinds) },
+                price_limit: if suspect { self.fair_price(spec) } else { self.price_limit_among(id, job, &kinds) },
                 owner: k,
                 mine,
                 preempts: self.preempts(job) && !suspect,
@@ -799,14 +801,14 @@
 
     /// Most that a core may cost for a job: what is dear is for those that would be late, or have
     /// to start at once.
-    pub(super) fn price_limit(&self, id: JobId, job: &Job) -> u64 {
+    pub(super) fn price_limit(&self, job: &Job) -> u64 {
         let spec = job.spec();
         let margin = Micros::secs(10) + Micros(spec.guess.0 / 4);
 
         if self.starts_at_once(spec) || self.latest_start(job) < self.now.day + margin {
             u64::MAX
         } else {
-            self.fair_price(id, spec)
+            self.fair_price(spec)
         }
     }
 
@@ -814,7 +816,7 @@
     /// it idle, and paid for.
     fn price_limit_among(&self, id: JobId, job: &Job, kinds: &BTreeSet<(&str, &str, bool)>) -> u64 {
         let spec = job.spec();
-        let limit = self.price_limit(id, job);
+        let limit = self.price_limit(job);
         let cheap = |(build, yard, spot): &(&str, &str, bool)| {
             self.view.machine_type(build).is_some_and(|t| {
                 spec.need.fits(&t.room)
@@ -826,10 +828,8 @@
         if limit < u64::MAX && !kinds.iter().any(cheap) { u64::MAX } else { limit }
     }
 
-    fn fair_price(&self, id: JobId, spec: &JobSpec) -> u64 {
-        let allows = |build: &str, yard: &str, spot: bool| {
-            spec.allows(build, yard, spot) && self.may_hire(id, build, yard, spot)
-        };
+    fn fair_price(&self, spec: &JobSpec) -> u64 {
+        let allows = |build: &str, yard: &str, spot: bool| spec.allows(build, yard, spot);
         self.view.types.value.as_ref().map_or(u64::MAX, |catalog| price_limit(catalog, spec, &allows))
     }
 
@@ -897,6 +897,10 @@
                     let term = k.map_or(0, |k| self.view.stamp(&Key::Own(k)));
                     tracing::info!(task = %TaskId { job: c.job, index: c.index }, attempt = number,
                         machine = %c.machine, term, "booked");
+                    if let Some(met) = self.wish_met(c.job, c.machine) {
+                        self.counters.wishes.0 += 1;
+                        self.counters.wishes.1 += u64::from(met);
+                    }
                 }
                 let changes = round.changes.into_iter().map(|mut c| {
                     c.stamp = epoch;
--- a/src/coordination/rules.rs
+++ b/src/coordination/rules.rs
@@ -54,8 +54,9 @@
     jobs
 }
 
-fn site<'a>(class: ClassId, r: &'a MachineRecord, there: &'a [JobId]) -> Site<'a> {
-    Site { class, images: &r.images, fetches: None, there }
+fn site<'a>(house: &House<'_>, class: ClassId, r: &'a MachineRecord, there: &'a [JobId]) -> Site<'a> {
+    let guarded = there.iter().any(|j| house.guards(*j));
+    Site { class, images: &r.images, fetches: None, there, guarded }
 }
 
 impl Rules {
@@ -108,7 +109,8 @@
         }
         let (Some(class), Some(job)) = (view.classes.of(m), view.jobs.get(&id)) else { return false };
         let there = jobs_there(&r.tasks);
-        !self.house(view).admits((id, job.spec()), admission, 0, site(class, r, &there))
+        let house = self.house(view);
+        !house.admits((id, job.spec()), admission, 0, site(&house, class, r, &there))
     }
 
     /// Whether a task that has not begun must be stopped: its machine is not one that it may run on any more.
@@ -235,7 +237,8 @@
             // It depends on what is on each.
             Some(true) => !self.up().any(|(m, r)| {
                 let there = jobs_there(&r.tasks);
-                classes.of(m).is_some_and(|c| self.house().admits((id, spec), Some(a), 0, site(c, r, &there)))
+                let house = self.house();
+                classes.of(m).is_some_and(|c| house.admits((id, spec), Some(a), 0, site(&house, c, r, &there)))
             }),
         }
     }
@@ -264,7 +267,10 @@
             return 0;
         }
         let ready = job.record.submitted.max(job.stage.ready_at);
-        a.insists(&self.possible_classes(job.spec()), &|wait| now < ready + wait)
+        let classes = &self.view.classes;
+        // What could not be there within the whole wait is not waited for at all.
+        let in_time = |c: ClassId, wait| classes.is_up(c) || self.expected_boot(&classes.all()[c].build) <= wait;
+        a.insists(&self.possible_classes(job.spec()), &|wait| now < ready + wait, &in_time)
     }
 
     /// The rules that have a say in where tasks of a job are placed.
@@ -288,12 +294,21 @@
             .is_none_or(|a| self.view.classes.of_offer(build, yard, spot).is_some_and(|c| a.may(c, 0)))
     }
 
+    /// Whether a machine meets the weightiest of a job's preferences, as far as its class tells; `None` if the
+    /// job has none.
+    pub(super) fn wish_met(&self, id: JobId, m: MachineId) -> Option<bool> {
+        let a = self.rules.admissions.get(&id)?;
+        let first = a.soft.first()?;
+        Some(self.view.classes.of(m).is_some_and(|c| first.may_meet(c)))
+    }
+
     /// Whether rules let a job on a machine, as far as its class tells.
     pub(super) fn may_use(&self, id: JobId, m: MachineId) -> bool {
         self.rules.admissions.get(&id).is_none_or(|a| self.view.classes.of(m).is_some_and(|c| a.may(c, 0)))
     }
 
-    /// What rules make of machines that are hired for a job; `Err` if none that could be hired would do.
+    /// What rules make of machines that are hired for a job; `Err` if none that could be hired would do, or
+    /// would do yet.
     pub(super) fn places_for<'a>(&'a self, id: JobId, job: &'a Job) -> Result<Option<Box<dyn Places + 'a>>, ()> {
         let Some(admission) = self.rules.admissions.get(&id) else {
             return if self.rules.beside {
@@ -305,7 +320,8 @@
         let spec = job.spec();
         let classes = &self.view.classes;
         let possible = self.possible_classes(spec);
-        // A preference that no machine could meet in time is not hired for.
+        // A preference that no machine could meet in time is not hired for; and what does not meet it is of no
+        // use before the wait is over.
         let mut insisted = self.insisted(id, job);
         let left = |wait: Micros| (job.record.submitted.max(job.stage.ready_at) + wait).since(self.now.day);
         let least = admission.soft.iter().enumerate().filter(|(i, _)| insisted >> i & 1 == 1);
@@ -314,6 +330,10 @@
                 admission.may_fresh(*c, insisted) && self.expected_boot(&classes.all()[*c].build) <= least
             };
             if !possible.iter().any(in_time) {
+                let boots = possible.iter().filter(|c| admission.may_fresh(**c, 0));
+                if boots.map(|c| self.expected_boot(&classes.all()[*c].build)).min() < Some(least) {
+                    return Err(());
+                }
                 insisted = 0;
             }
         }
@@ -398,7 +418,7 @@
                 .filter(|(_, r)| spec.allows(&r.build, &r.yard, r.spot))
                 .filter_map(|(m, r)| Some((classes.of(m)?, r, jobs_there(&r.tasks))))
                 .collect();
-            let sites = sites.iter().map(|(c, r, there)| site(*c, r, there));
+            let sites = sites.iter().map(|(c, r, there)| site(&house, *c, r, there));
             return match house.kept_from((id, spec), a, sites) {
                 Some(clash) if !clash.is_empty() => Some(format!("no machine that is up meets: {}", clash.join(", "))),
                 Some(_) => Some("no machine that is up fits".to_owned()),
@@ -498,7 +518,7 @@
         let Some(r) = self.controller.view.machine(m) else { return false };
         let there = jobs_there(&r.tasks);
         let house = self.controller.house();
-        house.admits((self.id, self.spec), self.admission, self.insisted, site(class, r, &there))
+        house.admits((self.id, self.spec), self.admission, self.insisted, site(&house, class, r, &there))
     }
 
     fn offer(&self, build: &str, yard: &str, spot: bool) -> Option<u32> {
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -187,8 +187,10 @@
     },
     /// Its first task started after this time.
     StartsAfter(u64, u64),
-    /// So many rounds clashed over what is beside, at least.
-    RulesKept(u64),
+    /// Its first task started by this time.
+    StartsBy(u64, u64),
+    /// So many rounds clashed, at least.
+    ManyClashes(u64),
     /// Of the polls, this share was answered with a state, or that there is no such job.
     Polled(f64),
 }
@@ -415,8 +417,9 @@
                         place: w.need("on", |t| Some(t.to_owned()))?,
                         share: w.need("share", real)?,
                     },
+                    "starts-by" => Expect::StartsBy(w.word(2, job)?, w.need("at", micros)?),
                     "starts-after" => Expect::StartsAfter(w.word(2, job)?, w.need("at", micros)?),
-                    "clashes-at-least" => Expect::RulesKept(w.word(2, whole)?),
+                    "clashes-at-least" => Expect::ManyClashes(w.word(2, whole)?),
                     "cancelled" => Expect::Cancelled(w.word(2, job)?),
                     "unknown" => Expect::Unknown(w.word(2, job)?),
                     "all-done" => Expect::AllDone,
--- a/tests/runner/verdict.rs
+++ b/tests/runner/verdict.rs
@@ -59,8 +59,9 @@
                     let good = all.iter().filter(|m| m.yard == *place || m.build == *place).count();
                     !all.is_empty() && good as f64 >= all.len() as f64 * share
                 }
+                Expect::StartsBy(j, at) => self.check.first_start.get(j).is_some_and(|t| t <= at),
                 Expect::StartsAfter(j, at) => self.check.first_start.get(j).is_some_and(|t| t > at),
-                Expect::RulesKept(n) => self.counters.clashes >= *n,
+                Expect::ManyClashes(n) => self.counters.clashes >= *n,
                 Expect::Cancelled(j) => self.check.is_cancelled(*j),
                 Expect::Unknown(j) => !self.check.is_accepted(*j),
                 Expect::AllDone => self.check.open().is_empty(),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -80,6 +80,13 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
+/// Rules of the days that have some: with labels, for what is beside, and preferences worth waiting for.
+const RULES: &str = r#"rules one {"labels": {"zones": {"b": {"near": ["print"]}}, "types": {"large": {"fonts": ["oromo"]}}}, "rules": [{"name": "fonts", "for": {"lanes": ["renders"]}, "require": "fonts has oromo or near has print"}, {"name": "apart", "for": {"lanes": ["watermark"]}, "require": "not beside lane masters"}, {"name": "print", "for": {"lanes": ["renders", "plain"]}, "prefer": "near has print", "weight": 5, "waitS": 15}, {"name": "home", "for": {"lanes": ["masters", "plain"]}, "prefer": "zone = a", "weight": 3, "waitS": 10}]}
+rules two {"rules": [{"name": "fonts", "for": {"lanes": ["renders"]}, "require": "zone = a or cores > 8"}, {"name": "apart", "for": {"lanes": ["watermark"]}, "require": "not beside lane {masters, plain}"}, {"name": "kept", "for": {"lanes": ["urgent"]}, "prefer": "not spot"}]}
+own cores [{"name": "any", "require": "cores >= 8"}, {"name": "large", "prefer": "cores > 8", "weight": 4, "waitS": 6}]
+own alone [{"name": "alone", "require": "not beside lane {renders, plain}"}]
+"#;
+
 /// A day drawn from a seed: jobs of all kinds, and faults that overlap.
 fn drawn(seed: u64) -> Script {
     use rand::rngs::StdRng;
@@ -130,8 +137,33 @@
             _ => format!("at {at} take i-{machine:06} notice={}\n", pick(8)),
         };
     }
-    // Days from here on have an upgrade, pipelines and limits that fall.
-    if seed > 2000 {
+    // Days from here on have rules, which change by a rolling restart.
+    if seed > 3000 {
+        text += &format!("{RULES}with one\ngrace 50\n");
+        for job in 300..340 {
+            let lane = ["renders", "masters", "watermark", "plain"][pick(4) as usize];
+            let own = ["", "", "", " rules=cores", " rules=alone"][pick(5) as usize];
+            let shape = ["", "", "", " shape=group", " one_zone=yes"][pick(5) as usize];
+            text += &format!(
+                "at {} submit req-{job:06} lane={lane} pieces={} cores={} run={} urgency={} team={}{own}{shape}\n",
+                6 + (job - 300) * 4 + pick(4),
+                1 + pick(6),
+                1 + pick(3),
+                1 + pick(9),
+                ["high", "standard", "low"][pick(3) as usize],
+                ["red", "blue", "free"][pick(3) as usize],
+            );
+        }
+        let mut at = 20 + pick(40);
+        for (to, order) in [("two", [0, 1, 2]), (["one", "none"][pick(2) as usize], [2, 0, 1])] {
+            for n in order {
+                text += &format!("at {at} rules n{n} {to} for={}\n", 1 + pick(5));
+                at += 2 + pick(20);
+            }
+            at += 60;
+        }
+    } else if seed > 2000 {
+        // Days from here on have an upgrade, pipelines and limits that fall.
         text += "old\nnext value_kb=2 txn_ops=4 changes=25\n";
         let mut last = 5 + pick(20);
         let order = [[0, 1, 2], [2, 0, 1], [1, 2, 0]][pick(3) as usize];
@@ -200,7 +232,14 @@
     let count: u64 = std::env::var("SEEDS").ok().map_or(120, |s| s.parse().unwrap());
     // The last ones catch what no other does: launches that were thought settled.
     let seeds: Vec<u64> = only.map_or_else(
-        || (1..=count).chain([304, 323, 444, 578]).chain(1001..=1000 + count / 2).chain(2001..=2000 + count).collect(),
+        || {
+            (1..=count)
+                .chain([304, 323, 444, 578])
+                .chain(1001..=1000 + count / 2)
+                .chain(2001..=2000 + count)
+                .chain(3001..=3000 + count)
+                .collect()
+        },
         |s| vec![s],
     );
     let days: Vec<_> = seeds.into_iter().map(|seed| (format!("seed {seed}"), drawn(seed))).collect();
@@ -223,6 +262,22 @@
     }
 }
 
+/// Rules that a later version wrote in a way that this one does not understand may forbid anything: nothing is
+/// started until they are gone.
+#[test]
+fn rules_that_are_not_understood_stop_all_starts() {
+    // A controller that was never seen may have them, so nobody withdraws them.
+    let text = "seed 1\nend 60\nat 0 crash n2 for=100\nat 2 submit req-000002 pieces=2 cores=1 run=2\n";
+    for (rule, starts) in [("spot or not spot", true), ("spot unless later", false)] {
+        let mut world = World::new(Script::parse(text).unwrap());
+        world.state.put("c/meta", serde_json::json!({"layout": 4, "slices": 3, "teams": {}}));
+        let rules = serde_json::json!({"rules": [{"name": "later", "require": rule}]});
+        world.state.put("c/rules/0123456789abcdef", rules);
+        world.run();
+        assert_eq!(world.started() > 0, starts, "{rule}");
+    }
+}
+
 /// An upgrade in place finds records of the layout before: they are left alone, and no node is in service.
 #[test]
 fn records_of_another_layout_are_left_alone() {
