A launch that rules forbid is told in the log; the queues' core forgets once, not twice

Need: every decision can be followed at info; a guard that was not seen to matter goes. Change: the clearing of a forbidden launch is logged by task and machine.

--- a/crates/queues/src/front.rs
+++ b/crates/queues/src/front.rs
@@ -66,7 +66,8 @@
 pub enum Event {
     /// Time passed.
     Tick,
-    /// A connection is up: its queue of receipts is there and is read by itself alone.
+    /// A connection is up, after the one before was said to be gone: its queue of receipts is there and is read by
+    /// itself alone.
     Linked,
     /// It is gone.
     Unlinked,
@@ -239,7 +240,6 @@
         match event {
             Event::Tick => {}
             Event::Linked => {
-                self.forget_all();
                 self.me.link += 1;
                 self.linked = true;
             }
--- a/crates/queues/tests/standin/mod.rs
+++ b/crates/queues/tests/standin/mod.rs
@@ -473,10 +473,7 @@
                 let at = self.soon(30_000);
                 self.at(at, Happening::Tell(f, life, None, Event::MarkIs(call, told)));
             }
-            Effect::Submit(call, body) => self.serve(f, life, call, &body, false),
-            Effect::Ask(call, job) | Effect::Cancel(call, job) if job.is_empty() => {
-                self.reply(f, life, call, Reply::None)
-            }
+            Effect::Submit(call, body) => self.serve(f, life, call, &body),
             Effect::Ask(call, job) => {
                 let reply = self.state(&job);
                 self.reply(f, life, call, reply);
@@ -506,7 +503,7 @@
         }
     }
 
-    fn serve(&mut self, f: usize, life: u64, call: Call, body: &[u8], _: bool) {
+    fn serve(&mut self, f: usize, life: u64, call: Call, body: &[u8]) {
         let body: serde_json::Value = serde_json::from_slice(body).expect("a submission");
         let job = body["nameId"].as_str().expect("a name").to_owned();
         if self.out_now() || self.chance(0.1) {
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -372,11 +372,12 @@
                 continue;
             }
             let job = self.view.jobs.get(&a.task.job);
+            let forbidden = record.is_some_and(|r| self.rules.forbid_launch(&self.view, machine, r, a.task.job));
             let unwanted = job.is_none_or(Job::cancelled)
                 || fitness != Fitness::Up
                 || s.recall_at.is_some()
                 || preempted.contains(b)
-                || record.is_some_and(|r| self.rules.forbid_launch(&self.view, machine, r, a.task.job));
+                || forbidden;
             if !unwanted && !s.has_room(&self.view, record, &a) {
                 continue;
             }
@@ -392,7 +393,9 @@
                 // Any earlier launch answered an earlier report, and that answer has been taken or
                 // given up by now; only a direct one can still come.
                 if s.settled(&a) {
-                    self.rounds.clear(machine, a, Outcome::Again, now);
+                    if self.rounds.clear(machine, a, Outcome::Again, now) && forbidden {
+                        log_forbidden(a.task, machine);
+                    }
                 } else {
                     self.ownership.raise_later(k, s.unsettled_since, now);
                 }
