Tidying: one place names what a submission rules out, and one finds the class of an offer

Need: explain judged a submission's own fields a second time and worked out traits twice a machine; hires looked up the class of an offer in two ways; a check before a launch said nothing that those after it do not. Change: these call one piece each; the queues' due messages are a sorted list. No behaviour changed.

--- a/crates/queues/src/front.rs
+++ b/crates/queues/src/front.rs
@@ -6,7 +6,7 @@
 
 use super::mark::{Holder, Mark};
 use super::message::{Key, Message, Wish};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Times are whole microseconds since some beginning.
 pub type Micros = u64;
@@ -453,12 +453,12 @@
     }
 
     fn pump_service(&mut self) {
-        let mut free = self
+        let free = self
             .limits
             .calls
             .saturating_sub(self.items.values().filter(|i| matches!(i.stage, Stage::Asked(_))).count());
         let now = self.now;
-        let mut due: VecDeque<(Micros, Key)> = self
+        let mut due: Vec<(Micros, Key)> = self
             .items
             .iter()
             .filter_map(|(k, i)| match i.stage {
@@ -466,9 +466,8 @@
                 _ => None,
             })
             .collect();
-        due.make_contiguous().sort_unstable();
-        while let Some((_, key)) = due.pop_front().filter(|_| free > 0) {
-            free -= 1;
+        due.sort_unstable();
+        for (_, key) in due.into_iter().take(free) {
             let call = self.call();
             let Some(item) = self.items.get_mut(&key) else { continue };
             item.stage = Stage::Asked(call);
--- a/src/bookkeeping/admission.rs
+++ b/src/bookkeeping/admission.rs
@@ -278,6 +278,12 @@
     mask(fails.into_iter(), 0)
 }
 
+/// What of a submission itself rules out a class, by name.
+pub fn fields_against(spec: &JobSpec, class: &Class, catalog: &Catalog) -> Vec<&'static str> {
+    let fails = fields_failing(spec, class, catalog);
+    FIELDS.into_iter().enumerate().filter(|(i, _)| fails >> i & 1 == 1).map(|(_, name)| name).collect()
+}
+
 /// The smallest set of rules that keeps a job from every machine that is up or could be, by their names;
 /// `None` if some machine could run it.
 pub fn clash(
--- a/src/bookkeeping/placement.rs
+++ b/src/bookkeeping/placement.rs
@@ -344,8 +344,8 @@
             && (!ask.mine || groups.may(s.group))
             && ask.class_admitted(s)
     };
-    // What preferences make of it, then the image's machine, else the fullest that fits. Among machines alike in this, those that this
-    // controller answers come first: their tasks' ends then go out with its own claims.
+    // What preferences make of it, then the image's machine, else the fullest that fits. Among machines
+    // alike in this, those that this controller answers come first: their tasks' ends then go out with its own claims.
     let rank = |s: &Slot<'_>| {
         let avoided = ask.avoid.contains(&s.machine);
         let far = s.owner != ask.owner;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -3,6 +3,7 @@
 use super::{Call, CallId, Controller, Effect, Purpose};
 use crate::bookkeeping::boots::Boots;
 use crate::bookkeeping::catalog::Catalog;
+use crate::bookkeeping::classes::ClassId;
 use crate::bookkeeping::fleet::{Demand, Offer, Pools, core_price, plan};
 use crate::bookkeeping::ids::{JobId, MachineId};
 use crate::bookkeeping::records::{Fitness, FleetRecord, HireRecord, Key};
@@ -228,13 +229,15 @@
         left > 0
     }
 
+    /// The class of machines that could be hired, where rules ask for it.
+    fn class_of_offer(&self, build: &str, yard: &str, spot: bool) -> Option<ClassId> {
+        self.rules.active().then(|| self.view.classes.of_offer(build, yard, spot)).flatten()
+    }
+
     /// Machines that are up or expected to come up.
     fn pools<'a>(&'a self, catalog: &Catalog) -> Pools<'a> {
         let mut pools = Pools::default();
         let ruled = self.rules.active();
-        let class_of = |build: &str, yard: &str, spot: bool| {
-            ruled.then(|| self.view.classes.of_offer(build, yard, spot)).flatten()
-        };
         for (_, m, r) in self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up) {
             // Half of what is booked is over, on the average.
             let work = r
@@ -247,14 +250,14 @@
             pools.add((&r.build, &r.yard, r.spot), catalog, class, 1, free, work.sum());
         }
         for (_, k) in self.fleet.known.iter().filter(|(m, k)| self.boots(**m, k)) {
-            let class = class_of(&k.build, &k.yard, k.spot);
+            let class = self.class_of_offer(&k.build, &k.yard, k.spot);
             pools.add((&k.build, &k.yard, k.spot), catalog, class, 1, None, 0);
         }
         // Rentals of an earlier owner whose machines no list shows yet.
         for h in &self.view.fleet.value.hires {
             let age = self.now.day.since(h.at);
             if age < self.cfg.list_lag * 2 + Micros::secs(8) {
-                let class = class_of(&h.build, &h.yard, h.spot);
+                let class = self.class_of_offer(&h.build, &h.yard, h.spot);
                 pools.add((&h.build, &h.yard, h.spot), catalog, class, h.count.into(), None, 0);
             }
         }
@@ -276,8 +279,7 @@
         let catalog = &catalog;
         let none_left = &self.fleet.none_left;
         let offered = |o: &Offer| none_left.get(o).is_none_or(|(until, _)| *until <= now);
-        let class_of =
-            |o: &Offer| self.rules.active().then(|| self.view.classes.of_offer(&o.build, &o.yard, o.spot)).flatten();
+        let class_of = |o: &Offer| self.class_of_offer(&o.build, &o.yard, o.spot);
         let hires = plan(catalog, &demands, &mut self.pools(catalog), &offered, &class_of);
         drop(demands);
         if hires.is_empty() {
--- a/src/coordination/rules.rs
+++ b/src/coordination/rules.rs
@@ -97,9 +97,6 @@
     /// Whether a task that was booked must not be launched: its rules have changed since, or what is on its
     /// machine has.
     pub fn forbid_launch(&self, view: &View, m: MachineId, r: &MachineRecord, id: JobId) -> bool {
-        if !self.active() {
-            return false;
-        }
         if self.unreadable {
             return true;
         }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -11,7 +11,7 @@
 use crate::protocol::user::parse_submission;
 use cometlead_constraints::explain::{Verdict, explain};
 use cometlead_constraints::expr::{Expr, Field, Words};
-use cometlead_constraints::{Now, Rule, RuleSet, Subject};
+use cometlead_constraints::{Now, Rule, RuleSet, Subject, Traits};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -121,8 +121,7 @@
 }
 
 /// Rules of jobs that are on a machine which keep another from coming there.
-fn kept_away(m: &Machine, set: &RuleSet, own: (&str, Subject<'_>), class: &Class, catalog: &Catalog) -> Vec<String> {
-    let Some(traits) = admission::traits(class, &[Arc::new(set.clone())], catalog) else { return Vec::new() };
+fn kept_away(m: &Machine, set: &RuleSet, own: (&str, Subject<'_>), traits: &Traits) -> Vec<String> {
     let mut away = Vec::new();
     for (i, there) in m.jobs.iter().enumerate() {
         let others = m.jobs.iter().enumerate().filter(|(j, _)| *j != i).map(|(_, r)| (r.name_id.as_str(), r.subject()));
@@ -133,7 +132,7 @@
             let alone = Found { machine: m, image: &there.bundle, beside: vec![own] };
             let mut about = false;
             rule.expr.tests(&mut |t| about |= matches!(t, Expr::Beside(f, w) if alone.beside(*f, w)));
-            if about && !rule.expr.holds(&traits[0], &found) {
+            if about && !rule.expr.holds(traits, &found) {
                 away.push(format!("{} of {}", rule.name, there.name_id));
             }
         }
@@ -141,16 +140,14 @@
     away
 }
 
-fn against(spec: &JobSpec, m: &Machine, catalog: &Catalog) -> Vec<String> {
-    let kind = catalog.get(&m.build);
-    let found = [
-        (spec.builds.as_ref().is_some_and(|b| !b.contains(&m.build)), "submission: builds"),
-        (spec.yard.as_ref().is_some_and(|y| *y != m.yard), "submission: yard"),
-        (m.loaners && !spec.loaners, "submission: loaners"),
-        (kind.is_none(), "its type is not in the catalogue"),
-        (kind.is_some_and(|t| !spec.need.fits(&t.room)), "submission: size of a task"),
-    ];
-    found.into_iter().filter(|(fails, _)| *fails).map(|(_, what)| what.to_owned()).collect()
+fn against(spec: &JobSpec, class: &Class, catalog: &Catalog) -> Vec<String> {
+    let mut found = admission::fields_against(spec, class, catalog);
+    if catalog.get(&class.build).is_none() {
+        // Its size, which comes last, is not known to be too small.
+        found.pop();
+        found.push("its type is not in the catalogue");
+    }
+    found.into_iter().map(str::to_owned).collect()
 }
 
 /// Judges every machine of a file. The error is one line.
@@ -176,12 +173,13 @@
     for m in &file.machines {
         let machine = m.host.parse().ok().filter(|id| labelled.contains(id));
         let class = Class { build: m.build.as_str().into(), yard: m.yard.as_str().into(), spot: m.loaners, machine };
-        let traits = admission::traits(&class, &sets, &catalog).map(|mut t| t.remove(0)).unwrap_or_default();
+        let traits = admission::traits(&class, &sets, &catalog).map(|mut t| t.remove(0));
         let beside = m.jobs.iter().filter(|r| r.name_id != own.0).map(|r| (r.name_id.as_str(), r.subject())).collect();
         let found = Found { machine: m, image: &spec.bundle, beside };
-        let verdict = explain(set.concerning(&own.1).chain(&spec.rules), &traits, &found);
-        let mut against = against(&spec, m, &catalog);
-        against.extend(kept_away(m, &set, (own.0.as_str(), own.1), &class, &catalog));
+        let verdict =
+            explain(set.concerning(&own.1).chain(&spec.rules), traits.as_ref().unwrap_or(&Traits::new()), &found);
+        let mut against = against(&spec, &class, &catalog);
+        against.extend(traits.iter().flat_map(|t| kept_away(m, &set, (own.0.as_str(), own.1), t)));
         judged.push(Judgement {
             host: m.host.clone(),
             allowed: verdict.allowed && against.is_empty(),
