Tidying: repeats and dead code of the queues go, and nothing wakes in vain

Repeated: looking anew at doubted messages, a metric's encoding, the settings' folder, the runtime. Dead: three functions that nobody called, one that only joined a path.

Cause of the one thing that is more than tidying: after a failure, while the rate was used up, and while it stopped, the front asked to be woken at a time that was past and would have gone round until then. It now names the time at which it can do something; what it does is the same.

--- a/crates/queues/src/front.rs
+++ b/crates/queues/src/front.rs
@@ -243,11 +243,6 @@
         }
     }
 
-    /// Its present connection.
-    pub fn holder(&self) -> Holder {
-        self.me
-    }
-
     /// Messages in hand.
     pub fn in_hand(&self) -> usize {
         self.items.len()
@@ -319,7 +314,8 @@
     /// When it next wants a [`Event::Tick`].
     pub fn wake(&self) -> Micros {
         let ledger = self.ledger.wake();
-        if self.link != Link::Up {
+        // Nothing is asked or swept any more once it stops.
+        if self.link != Link::Up || self.stopping {
             return ledger;
         }
         let free = self.under_way.len() < self.limits.calls;
@@ -561,7 +557,13 @@
             let up = matches!(ledger.links().get(&holder), Some(LinkState::Begun | LinkState::Up));
             up && matches!(ledger.mark(key), Some((Mark::Sealed(by, _), _)) if by == holder)
         };
-        for key in self.estates.cleared(doubtful) {
+        let cleared = self.estates.cleared(doubtful);
+        self.look_again(cleared);
+    }
+
+    /// Looks anew at messages whose doubt is over.
+    fn look_again(&mut self, keys: impl IntoIterator<Item = Key>) {
+        for key in keys {
             if self.items.get(&key).is_some_and(|i| i.stage == Stage::Doubt) {
                 self.look(key);
             }
@@ -641,11 +643,8 @@
         if self.estates.is_known(holder) {
             let delete = done && matches!(state, Some(LinkState::Told | LinkState::Lost));
             self.out.push(Effect::ClearReceipts(holder, delete));
-            for key in self.estates.close(holder) {
-                if self.items.get(&key).is_some_and(|i| i.stage == Stage::Doubt) {
-                    self.look(key);
-                }
-            }
+            let doubted = self.estates.close(holder);
+            self.look_again(doubted);
         }
     }
 
--- a/crates/queues/src/ledger.rs
+++ b/crates/queues/src/ledger.rs
@@ -250,11 +250,6 @@
         std::mem::take(&mut self.done)
     }
 
-    /// Whether nothing is wanted of it any more.
-    pub fn is_quiet(&self) -> bool {
-        self.waiting.is_empty() && self.sent.is_none()
-    }
-
     /// When it next wants to be asked.
     pub fn wake(&self) -> Micros {
         if self.asked {
@@ -262,7 +257,7 @@
         }
         match self.phase {
             Phase::Ready if self.fresh < self.wanted => self.rest,
-            Phase::Ready if self.waiting.is_empty() => self.swept + Self::SWEEP,
+            Phase::Ready if self.waiting.is_empty() => self.rest.max(self.rate.at()).max(self.swept + Self::SWEEP),
             Phase::Ready => self.rest.max(self.rate.at()),
             _ => self.rest,
         }
@@ -312,7 +307,7 @@
         }
     }
 
-    /// What another version wrote is not overwritten: it is read again, less and less often.
+    /// What another version wrote is not overwritten: it is read again, seldom.
     fn unreadable(&mut self, now: Micros, record: &str, error: &BadRecord) {
         tracing::error!(record, %error, "marks cannot be read");
         self.rest = now + Self::MOST_WAIT;
--- a/crates/queues/src/settings.rs
+++ b/crates/queues/src/settings.rs
@@ -273,15 +273,10 @@
     }
 }
 
-/// A path that the settings name, which lie in `base`.
-pub fn beside(base: &Path, path: &Path) -> PathBuf {
-    base.join(path)
-}
-
 impl Credentials {
     /// Reads the file that the settings name.
     pub fn load(base: &Path, settings: &BrokerSettings) -> Result<Credentials, BadSettings> {
-        let path = beside(base, &settings.credentials);
+        let path = base.join(&settings.credentials);
         let bad = |what: String| BadSettings::File("broker.credentials", what);
         let text = std::fs::read_to_string(&path).map_err(|e| bad(format!("{}: {e}", path.display())))?;
         let mut lines = text.lines().map(str::trim).filter(|l| !l.is_empty());
--- a/crates/queues/src/shell/broker.rs
+++ b/crates/queues/src/shell/broker.rs
@@ -9,7 +9,7 @@
 use crate::front::{Commit, Event, Receipts, Tag};
 use crate::mark::Holder;
 use crate::message::{BODY_LIMIT, Key, Message};
-use crate::settings::{BadSettings, Credentials, QueueSettings, beside};
+use crate::settings::{BadSettings, Credentials, QueueSettings};
 use amqprs::callbacks::{ChannelCallback, ConnectionCallback};
 use amqprs::channel::{
     BasicAckArguments, BasicConsumeArguments, BasicPublishArguments, BasicQosArguments, Channel, ConsumerMessage,
@@ -78,7 +78,7 @@
 
 fn tls(settings: &QueueSettings, base: &Path) -> Result<Option<TlsAdaptor>, BadSettings> {
     let Some(tls) = &settings.broker.tls else { return Ok(None) };
-    let path = beside(base, &tls.roots);
+    let path = base.join(&tls.roots);
     let bad = |what: String| BadSettings::File("broker.tls.roots", format!("{}: {what}", path.display()));
     let mut roots = RootCertStore::empty();
     for certificate in CertificateDer::pem_file_iter(&path).map_err(|e| bad(e.to_string()))? {
--- a/crates/queues/src/shell/metrics.rs
+++ b/crates/queues/src/shell/metrics.rs
@@ -76,6 +76,11 @@
     }
 }
 
+fn put(encoder: &mut DescriptorEncoder, name: &str, help: &str, metric: &impl EncodeMetric) -> std::fmt::Result {
+    let name = format!("cometlead_queues_{name}");
+    metric.encode(encoder.encode_descriptor(&name, help, None, metric.metric_type())?)
+}
+
 impl Collector for Gauges {
     fn encode(&self, mut encoder: DescriptorEncoder) -> Result<(), std::fmt::Error> {
         let s = *self.0.lock();
@@ -97,10 +102,7 @@
             ("clashes", "rounds of marks that clashed", s.clashes),
         ];
         for (name, help, value) in counters {
-            let metric = ConstCounter::new(value);
-            let name = format!("cometlead_queues_{name}");
-            let at = encoder.encode_descriptor(&name, help, None, metric.metric_type())?;
-            metric.encode(at)?;
+            put(&mut encoder, name, help, &ConstCounter::new(value))?;
         }
         let gauges = [
             ("in_hand", "messages in hand", s.in_hand),
@@ -108,10 +110,7 @@
             ("marks", "marks that are kept", s.marks),
         ];
         for (name, help, value) in gauges {
-            let metric = ConstGauge::new(value);
-            let name = format!("cometlead_queues_{name}");
-            let at = encoder.encode_descriptor(&name, help, None, metric.metric_type())?;
-            metric.encode(at)?;
+            put(&mut encoder, name, help, &ConstGauge::new(value))?;
         }
         Ok(())
     }
--- a/crates/queues/tests/standin/broker.rs
+++ b/crates/queues/tests/standin/broker.rs
@@ -132,10 +132,6 @@
         self.queues.keys().cloned().collect()
     }
 
-    pub fn cancel(&mut self, chan: ChanId, name: &str) {
-        self.queues.values_mut().for_each(|q| q.consumers.retain(|c| c.chan != chan || c.name != name));
-    }
-
     /// Without an exchange: into the queue of that name, or nowhere.
     pub fn publish(&mut self, chan: ChanId, queue: &str, message: M) {
         match self.channels.get_mut(&chan).and_then(|c| c.tx.as_mut()) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -112,10 +112,19 @@
     OperatorSettings::parse(&read(path)?).map_err(|e| format!("{path}: {e}"))
 }
 
+/// Where a settings file lies, and with it what it names.
+fn folder_of(path: &str) -> &Path {
+    Path::new(path).parent().unwrap_or(Path::new(""))
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())
+}
+
 /// The rules that the settings name.
 fn rules(settings: Option<&str>, operator: &OperatorSettings) -> Result<Option<Arc<RuleSet>>, String> {
     let (Some(settings), Some(rules)) = (settings, &operator.rules) else { return Ok(None) };
-    let path = Path::new(settings).parent().unwrap_or(Path::new("")).join(rules);
+    let path = folder_of(settings).join(rules);
     let path = path.to_string_lossy();
     Ok(Some(Arc::new(RuleSet::parse(&read(&path)?).map_err(|e| format!("{path}: {e}"))?)))
 }
@@ -158,8 +167,7 @@
 
 fn run(settings: Settings, operator: OperatorSettings, rules: Option<Arc<RuleSet>>) -> Result<(), String> {
     start_log();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    runtime.block_on(async {
+    runtime()?.block_on(async {
         let settings = Arc::new(settings);
         let seed = rand::random();
         tracing::info!(node = settings.node, run = format!("{seed:016x}"), "starting");
@@ -246,15 +254,13 @@
     let path = settings.ok_or("--settings FILE is missing; see queues --help")?;
     let bad = |e: &dyn std::fmt::Display| format!("{path}: {e}");
     let parsed = QueueSettings::parse(&read(path)?).map_err(|e| bad(&e))?;
-    let base = Path::new(path).parent().unwrap_or(Path::new(""));
-    let queues = Queues::new(parsed, base).map_err(|e| bad(&e))?;
+    let queues = Queues::new(parsed, folder_of(path)).map_err(|e| bad(&e))?;
     if let Some(QueuesCommand::Check) = command {
         say("ok");
         return Ok(ExitCode::SUCCESS);
     }
     start_log();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    runtime.block_on(async {
+    runtime()?.block_on(async {
         use tokio::signal::unix::{SignalKind, signal};
         let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
         let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
