Usage records are written by their owner alone, and rounds read first (layout 5)

Change: what teams have booked is told by the groups; a slice's usage record is written by its owner alone, with bookings of its jobs and ends on its machines. A read goes before a round while the watch rests. Clearings and bookings take turns where a round was full. A model plays all interleavings of a small case on the real drafts.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -27,7 +27,7 @@
     /// Some machines of a slice, and their bookings. A slice has as many of these records as its
     /// machines need; the first of them is written with every addition.
     Group(Slice, Part),
-    /// What the slice's teams have booked.
+    /// What the slice's teams have booked; in layouts from [`FENCED`] on only its owner writes it.
     Usage(Slice),
     /// A live job.
     Job(JobId),
@@ -92,7 +92,7 @@
 
 /// How the live records are laid out at most, as this version understands it. It is raised whenever
 /// they change in a way that an earlier version would misread; see [`MetaRecord::layout`].
-pub const LAYOUT: u32 = 4;
+pub const LAYOUT: u32 = 6;
 
 /// The first layout with jobs that await others.
 pub const PIPED: u32 = 3;
@@ -101,6 +101,18 @@
 /// operators turned rules on at every controller.
 pub const RULED: u32 = 4;
 
+/// The first layout in which a slice's usage record is written by the slice's owner alone: what is booked is told by
+/// the groups, and ends of tasks are kept by the slice of their machines. This one is without rules, see [`RULED`].
+pub const FENCED: u32 = 5;
+
+/// The same with rules.
+pub const FENCED_RULED: u32 = 6;
+
+/// Whether records of this layout have rules.
+pub fn is_ruled(layout: u32) -> bool {
+    matches!(layout, RULED | FENCED_RULED)
+}
+
 /// The first layout whose groups and finished sets have the terser written forms.
 pub const TERSE: u32 = 3;
 
@@ -146,9 +158,12 @@
     pub run: Incarnation,
 }
 
-/// What a slice's teams have booked, and which of its jobs' tasks ended lately. Every booking and
-/// every clearing of a slice's tasks writes this record, so the ends of many jobs go out with it
-/// and cost no write of their own.
+/// What a slice's teams have booked, and which of its jobs' tasks ended lately. Every booking of a
+/// slice's tasks writes this record, so that one of unknown outcome cannot succeed beside a later one.
+///
+/// The ends of many jobs go out with it and cost no write of their own. Before [`FENCED`] these are the slice's jobs,
+/// and every clearing of their tasks writes it. From then on they are those that ended on the slice's machines,
+/// and what the teams have booked is not in it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageRecord {
     /// Cores and accelerators booked, in thousandths, by team.
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -1,9 +1,9 @@
 //! The private copy of the whole state.
 //!
 //! It is brought forward by the watch, one consistent epoch at a time, and by the controller's own
-//! commits. The latter may run ahead of the watch: every commit that touches the bookings of a
-//! slice's jobs writes that slice's usage record conditionally, so a commit that succeeded proves
-//! that the copy had missed nothing of that slice.
+//! commits. The latter may run ahead of the watch: every commit that books a slice's jobs writes that
+//! slice's usage record conditionally, and every record is written on the revision that the copy has of it. So a
+//! commit that succeeded proves that the copy had missed no booking of that slice, and nothing of what it wrote.
 
 use super::amount::Amount;
 use super::catalog::{Catalog, MachineType};
@@ -13,11 +13,12 @@
 use super::job::{FinalRecord, JobRecord, JobSpec, Urgency};
 use super::pipeline::{Graph, Stage};
 use super::records::{
-    Booking, FIRST_LAYOUT, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord, OwnRecord, TERSE,
-    UsageRecord,
+    Booking, FENCED, FIRST_LAYOUT, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord, OwnRecord,
+    TERSE, UsageRecord,
 };
 use super::time::Micros;
 use cometlead_constraints::RuleSet;
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -75,7 +76,7 @@
     pub stamp: u64,
     /// Further chunks of the finished set.
     pub chunks: BTreeMap<u32, Stamped<Finished>>,
-    /// Finished tasks that the slice's usage record has, and the job's own may not have yet.
+    /// Finished tasks that usage records have, and the job's own may not have yet.
     pub ends: Finished,
     /// Where it stands in its pipeline.
     pub stage: Stage,
@@ -204,6 +205,8 @@
     /// Machines that a lower part still lists although they were copied to a higher one, with that part.
     stale: HashMap<MachineId, Part>,
     booked: HashMap<JobId, BTreeMap<u32, Place>>,
+    /// What teams have booked, added up when it is asked for.
+    used: OnceCell<HashMap<String, (u64, u64)>>,
     gone: HashMap<Key, u64>,
 }
 
@@ -280,6 +283,39 @@
         self.layout() >= TERSE
     }
 
+    /// Whether what is booked is told by the groups alone: see [`FENCED`].
+    pub fn fenced(&self) -> bool {
+        self.layout() >= FENCED
+    }
+
+    /// Cores and accelerators that a team has booked, in thousandths; it is in slice `k`.
+    ///
+    /// Bookings of a slice's jobs are known to the slice's owner, or its next one fails for its condition on the
+    /// usage record; of clearings it may know too few. So this is never less than what is booked, and a limit
+    /// that it keeps is kept.
+    pub fn used(&self, k: Slice, team: &str) -> (u64, u64) {
+        if !self.fenced() {
+            return self.usage.get(k).map_or((0, 0), |u| u.value.of(team));
+        }
+        self.used.get_or_init(|| self.add_up()).get(team).copied().unwrap_or_default()
+    }
+
+    fn add_up(&self) -> HashMap<String, (u64, u64)> {
+        let mut used: HashMap<String, (u64, u64)> = HashMap::new();
+        for (id, tasks) in &self.booked {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let (spec, n) = (job.spec(), tasks.len() as u64);
+            let more = (n * spec.need.cores, n * spec.need.accelerators);
+            match used.get_mut(&spec.crew) {
+                Some(u) => *u = (u.0 + more.0, u.1 + more.1),
+                None => {
+                    used.insert(spec.crew.clone(), more);
+                }
+            }
+        }
+        used
+    }
+
     /// The kept records are of a layout that is not understood, at most this one, and must not be touched.
     pub fn foreign(&self, understood: u32) -> bool {
         !(FIRST_LAYOUT..=understood).contains(&self.layout())
@@ -373,6 +409,9 @@
 
     fn apply_one(&mut self, c: Change, touched: &mut Touched) {
         let stamp = if c.content.is_some() { c.stamp } else { 0 };
+        if matches!(c.key, Key::Group(..) | Key::Job(_)) {
+            self.used.take();
+        }
         if c.content.is_none() {
             self.gone.insert(c.key.clone(), c.stamp);
         }
@@ -428,7 +467,8 @@
                     Some(Content::Usage(u)) => u,
                     _ => UsageRecord::default(),
                 };
-                self.put_usage(k, Stamped { value, stamp }, touched);
+                let old = std::mem::replace(&mut self.usage[k], Stamped { value, stamp });
+                self.gather_ends(k, &old.value.ends, touched);
                 touched.usage = true;
             }
             (Key::Job(id), Some(Content::Job(record))) => {
@@ -443,8 +483,7 @@
                         }
                     }
                     None => {
-                        let usage = self.usage.get(self.job_slice(id, &record.spec));
-                        let ends = usage.and_then(|u| u.value.ends.get(&id)).cloned().unwrap_or_default();
+                        let ends = self.kept_ends(id);
                         let chunks = BTreeMap::new();
                         let stage = Stage::alone(&record.spec);
                         self.jobs.insert(id, Job { record, stamp, chunks, ends, stage });
@@ -474,20 +513,29 @@
         }
     }
 
-    fn put_usage(&mut self, k: Slice, new: Stamped<UsageRecord>, touched: &mut Touched) {
-        let old = std::mem::replace(&mut self.usage[k], new);
-        let ends = &self.usage[k].value.ends;
-        for id in old.value.ends.keys().filter(|id| !ends.contains_key(id)) {
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.ends = Finished::default();
+    /// Ends of a job's tasks that records other than its own keep. Ends are facts: what several keep is their union.
+    fn kept_ends(&self, id: JobId) -> Finished {
+        let mut kept = self.usage.iter().filter_map(|u| u.value.ends.get(&id));
+        let mut all = kept.next().cloned().unwrap_or_default();
+        kept.for_each(|ends| all.merge(ends));
+        all
+    }
+
+    /// A slice's usage record has changed, and kept these ends before.
+    fn gather_ends(&mut self, k: Slice, old: &BTreeMap<JobId, Finished>, touched: &mut Touched) {
+        let new = &self.usage[k].value.ends;
+        let changed = new.iter().filter(|(id, set)| old.get(id) != Some(set)).map(|(id, _)| *id);
+        let removed = old.keys().filter(|id| !new.contains_key(id)).copied();
+        for id in changed.chain(removed).collect::<Vec<_>>() {
+            if !self.jobs.contains_key(&id) {
+                continue;
             }
-        }
-        for (id, set) in ends {
-            if let Some(job) = self.jobs.get_mut(id)
-                && job.ends != *set
+            let ends = self.kept_ends(id);
+            if let Some(job) = self.jobs.get_mut(&id)
+                && job.ends != ends
             {
-                job.ends.clone_from(set);
-                touched.jobs.push(*id);
+                job.ends = ends;
+                touched.jobs.push(id);
             }
         }
     }
--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -106,6 +106,12 @@
         if wait > Micros::ZERO { Err(now + wait.max(Micros::millis(1))) } else { Ok(()) }
     }
 
+    /// Whether requests are plenty: half of what may be saved up of them is there.
+    pub fn has_requests(&mut self, now: Micros) -> bool {
+        self.bring_forward(now);
+        self.requests.level * 2.0 > self.requests.most
+    }
+
     /// The same for a small round that must not wait: it may be paid for afterwards, by as much as a
     /// second's changes.
     pub fn overdraw(&mut self, now: Micros) -> Result<(), Micros> {
--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -1,11 +1,13 @@
 //! A transaction in the making: edited copies of records, with their conditions.
 
+#[cfg(test)]
+mod model;
 pub mod shrink;
 
 use super::sessions::{Mark, Outcome};
 use crate::bookkeeping::finished::{CHUNK, Finished};
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Part, Slice};
-use crate::bookkeeping::job::{FinalRecord, JobRecord};
+use crate::bookkeeping::job::{FinalRecord, JobRecord, JobSpec};
 use crate::bookkeeping::records::{Booking, Fitness, GroupRecord, Key, MachineRecord, OwnRecord, UsageRecord};
 use crate::bookkeeping::view::{Change, Content, Job, View};
 use crate::protocol::state::{Put, Txn, encode};
@@ -91,12 +93,16 @@
     /// Bytes that the machines of a group will take once they are full.
     expected: BTreeMap<(Slice, Part), usize>,
     usage: BTreeMap<Slice, UsageEdit>,
+    /// Cores and accelerators that teams would have booked more, and less.
+    moved: BTreeMap<&'a str, [(u64, u64); 2]>,
     jobs: BTreeMap<JobId, JobEdit>,
     removed_chunks: BTreeSet<(JobId, u32)>,
     conditions: BTreeSet<Key>,
     bytes: usize,
     /// The terser written forms are understood by all.
     terse: bool,
+    /// What is booked is told by the groups alone: see [`View::fenced`].
+    fenced: bool,
     /// A slice whose term it raises, and the owner.
     raise: Option<(Slice, OwnRecord)>,
 }
@@ -136,11 +142,13 @@
             added: BTreeMap::new(),
             expected: BTreeMap::new(),
             usage: BTreeMap::new(),
+            moved: BTreeMap::new(),
             jobs: BTreeMap::new(),
             removed_chunks: BTreeSet::new(),
             conditions: BTreeSet::new(),
             bytes: 0,
             terse: view.terse(),
+            fenced: view.fenced(),
             raise: None,
         }
     }
@@ -153,7 +161,8 @@
     /// Changes so far. A job that ends takes two: its record goes, its end is kept.
     fn ops(&self) -> usize {
         let jobs: usize = self.jobs.values().map(|j| j.chunks.len() + 1 + usize::from(j.ended.is_some())).sum();
-        self.groups.len() + self.usage.len() + jobs + self.removed_chunks.len() + usize::from(self.raise.is_some())
+        let records = self.groups.len() + self.usage.len() + self.removed_chunks.len();
+        records + jobs + usize::from(self.raise.is_some())
     }
 
     /// Changes that it may still take.
@@ -171,8 +180,11 @@
         self.usage.contains_key(&k)
     }
 
-    /// Whether clearing this booking writes only records that it writes already.
+    /// Whether clearing this booking writes only records that it writes already, or that nobody else writes.
     pub fn covers(&self, m: MachineId, a: Attempt) -> bool {
+        if self.fenced {
+            return self.home(m).is_some_and(|at| self.writes_group(at));
+        }
         let Some(job) = self.view.jobs.get(&a.task.job) else { return false };
         let k = self.view.job_slice(a.task.job, job.spec());
         self.home(m).is_some_and(|at| self.writes_group(at)) && self.writes_usage(k)
@@ -218,11 +230,11 @@
             .collect();
         let usage = new_usage.map(|k| {
             let mut record = self.view.usage[k].value.clone();
-            // The ends of a job that has ended itself say nothing more, and those that its record has.
-            let needed =
-                |id: &JobId, ends: &Finished| self.view.jobs.get(id).is_some_and(|j| !j.record.finished.covers(ends));
-            record.ends.retain(|id, ends| needed(id, ends));
+            record.ends.retain(|id, ends| self.is_needed(id, ends));
             record.ends.values_mut().for_each(|e| e.terse(self.terse));
+            if self.fenced {
+                record.teams.clear();
+            }
             let bytes = size_of(&record);
             (k, UsageEdit { record, bytes: bytes + SPARE_BYTES })
         });
@@ -244,10 +256,13 @@
             && let Some(job) = self.view.jobs.get(&id)
         {
             let mut record = job.record.clone();
-            // A record that is written takes what the usage record kept for it.
-            let kept = needs.usage.and_then(|k| self.usage.get_mut(&k)).and_then(|u| u.record.ends.remove(&id));
-            if let Some(ends) = kept {
-                record.finished.merge(&ends);
+            // A record that is written takes what usage records keep for it; from those that are not written
+            // with it that goes when they next are.
+            record.finished.merge(&job.ends);
+            for edit in self.usage.values_mut() {
+                if let Some(ends) = edit.record.ends.remove(&id) {
+                    record.finished.merge(&ends);
+                }
             }
             self.jobs.insert(id, JobEdit { record, chunks: BTreeMap::new(), ended: None });
         }
@@ -255,6 +270,12 @@
         true
     }
 
+    /// Whether ends that are kept beside their job's record still say something: not those of a job that has ended
+    /// itself, and not those that its record has.
+    fn is_needed(&self, id: &JobId, ends: &Finished) -> bool {
+        self.view.jobs.get(id).is_some_and(|j| !j.record.finished.covers(ends))
+    }
+
     /// Makes sure that a group may grow by some bytes, and still leaves `spare`.
     fn grow(&mut self, at: (Slice, Part), by: usize, spare: usize) -> bool {
         let Some(g) = self.groups.get_mut(&at) else {
@@ -308,7 +329,11 @@
 
     /// What a team of a slice would have booked.
     pub fn used(&self, k: Slice, team: &str) -> (u64, u64) {
-        self.usage.get(&k).map_or(&self.view.usage[k].value, |u| &u.record).of(team)
+        if !self.fenced {
+            return self.usage.get(&k).map_or(&self.view.usage[k].value, |u| &u.record).of(team);
+        }
+        let (booked, [more, less]) = (self.view.used(k, team), self.moved.get(team).copied().unwrap_or_default());
+        ((booked.0 + more.0).saturating_sub(less.0), (booked.1 + more.1).saturating_sub(less.1))
     }
 
     /// Adds a machine that was heard for the first time, to the first of the slice's groups that
@@ -399,19 +424,20 @@
         let spec = job.spec();
         let k = view.job_slice(id, spec);
         let counts = outcome != Outcome::Again && !job.cancelled();
-        let usage = (outcome == Outcome::Done && self.goes_with_usage(job, a, k)).then_some(k);
-        let own = counts && usage.is_none();
+        // The slice whose usage record keeps the end until the job's own is written.
+        let keeper = if self.fenced { by } else { k };
+        let kept = outcome == Outcome::Done && counts && self.is_kept(job, a, keeper);
+        let own = counts && !kept;
         let more = if outcome == Outcome::Done { self.more_changes(job, a) } else { 0 };
         let (groups, conditions) = (&[at], &[Key::Own(by)]);
-        let needs = |more| Needs { groups, usage: Some(k), job: own.then_some((id, more)), conditions };
+        let usage = (kept || !self.fenced).then_some(keeper);
+        let needs = |more| Needs { groups, usage, job: own.then_some((id, more)), conditions };
         // Where the end of the job has no room in the same transaction, it goes out later: see `end_done`.
         let whole = self.reserve(needs(more));
         if !whole && (more < 2 || !self.terse || !self.reserve(needs(more - 1))) {
             return false;
         }
-        if let Some(u) = self.usage.get_mut(&k) {
-            u.record.take(&spec.crew, spec.need.cores, spec.need.accelerators);
-        }
+        self.take(k, spec);
         if let Some(r) = self.machine_mut(m) {
             r.tasks.retain(|b| *b != booking);
             r.preempted.retain(|b| *b != booking);
@@ -419,9 +445,9 @@
         if !counts {
             return true;
         }
-        match (outcome, usage) {
-            (Outcome::Done, Some(k)) => {
-                if let Some(u) = self.usage.get_mut(&k) {
+        match (outcome, kept) {
+            (Outcome::Done, true) => {
+                if let Some(u) = self.usage.get_mut(&keeper) {
                     let before = u.record.ends.get(&id).map_or(0, Finished::bytes);
                     let set = u.record.ends.entry(id).or_default();
                     set.insert(a.task.index);
@@ -430,7 +456,7 @@
                     self.bytes += more;
                 }
             }
-            (Outcome::Done, None) => self.finish(id, a.task.index, whole),
+            (Outcome::Done, false) => self.finish(id, a.task.index, whole),
             _ => {
                 if let Some(j) = self.jobs.get_mut(&id) {
                     j.record.failed_on(m);
@@ -440,28 +466,36 @@
         true
     }
 
-    /// Whether a task's end goes into the usage record: its job is small, goes on after it, is not
+    /// A team has less booked.
+    fn take(&mut self, k: Slice, spec: &'a JobSpec) {
+        if let Some(u) = self.usage.get_mut(&k).filter(|_| !self.fenced) {
+            u.record.take(&spec.crew, spec.need.cores, spec.need.accelerators);
+        }
+        let [_, less] = self.moved.entry(&spec.crew).or_default();
+        *less = (less.0 + spec.need.cores, less.1 + spec.need.accelerators);
+    }
+
+    /// Whether a task's end is kept in this slice's usage record: its job is small, goes on after it, is not
     /// written for another reason, and there is room.
-    fn goes_with_usage(&self, job: &Job, a: Attempt, k: Slice) -> bool {
+    fn is_kept(&self, job: &Job, a: Attempt, keeper: Slice) -> bool {
         let id = a.task.job;
-        if job.spec().pieces > SMALL_JOB || job.cancelled() || self.jobs.contains_key(&id) {
+        if job.spec().pieces > SMALL_JOB || self.jobs.contains_key(&id) {
             return false;
         }
-        let none = Finished::default();
-        let edit = self.usage.get(&k);
-        let usage = edit.map_or(&self.view.usage[k].value, |u| &u.record);
-        let ends = usage.ends.get(&id).unwrap_or(&none);
+        let ends = self.ends_of(id, job);
         let known = ends.has(a.task.index) || job.record.finished.has(a.task.index);
-        let done = job.record.finished.count_with(ends) + u32::from(!known);
-        let bytes = edit.map_or_else(|| size_of(usage) + SPARE_BYTES, |u| u.bytes);
+        let done = job.record.finished.count_with(&ends) + u32::from(!known);
+        let edit = self.usage.get(&keeper);
+        let bytes = edit.map_or_else(|| size_of(&self.view.usage[keeper].value) + SPARE_BYTES, |u| u.bytes);
         let most = self.limits.part_bytes.min(self.limits.value_bytes);
         done < job.spec().pieces && bytes + ENTRY_BYTES + (SMALL_JOB / 4) as usize + SPARE_BYTES <= most
     }
 
-    /// What the usage record would keep of a job's ends.
-    fn ends_of<'b>(&'b self, id: JobId, job: &'b Job) -> &'b Finished {
-        let k = self.view.job_slice(id, job.spec());
-        self.usage.get(&k).and_then(|u| u.record.ends.get(&id)).unwrap_or(&job.ends)
+    /// What usage records would keep of a job's ends.
+    fn ends_of(&self, id: JobId, job: &Job) -> Finished {
+        let mut ends = job.ends.clone();
+        self.usage.values().filter_map(|u| u.record.ends.get(&id)).for_each(|more| ends.merge(more));
+        ends
     }
 
     /// Changes that the completion of a task takes beyond those of its group, its team's usage and its
@@ -471,7 +505,7 @@
         let n = a.task.index / CHUNK;
         let chunk = n > 0 && edit.is_none_or(|e| !e.chunks.contains_key(&n));
         let done = edit.map_or_else(
-            || job.record.finished.count_with(self.ends_of(a.task.job, job)) + job.record.more,
+            || job.record.finished.count_with(&self.ends_of(a.task.job, job)) + job.record.more,
             |e| e.record.done(),
         );
         usize::from(chunk) + usize::from(done + 1 >= job.spec().pieces)
@@ -514,7 +548,7 @@
     fn end(&mut self, id: JobId, job: &Job, end: FinalRecord) -> bool {
         let k = self.view.job_slice(id, job.spec());
         // What the usage record keeps of it goes along, if that can be written.
-        let kept = self.view.usage[k].value.ends.contains_key(&id).then_some(k);
+        let kept = (!self.fenced && self.view.usage[k].value.ends.contains_key(&id)).then_some(k);
         let conditions = &[Key::Own(k)];
         let needs = |usage| Needs { usage, job: Some((id, 1)), conditions, ..Needs::default() };
         if !self.reserve(needs(kept)) && !self.reserve(needs(None)) {
@@ -545,7 +579,8 @@
     pub fn settle(&mut self, id: JobId) -> bool {
         let Some(job) = self.view.jobs.get(&id) else { return true };
         let k = self.view.job_slice(id, job.spec());
-        self.reserve(Needs { usage: Some(k), job: Some((id, 0)), conditions: &[Key::Own(k)], ..Needs::default() })
+        let usage = (!self.fenced).then_some(k);
+        self.reserve(Needs { usage, job: Some((id, 0)), conditions: &[Key::Own(k)], ..Needs::default() })
     }
 
     /// Books a task.
@@ -559,7 +594,7 @@
         let k = view.job_slice(id, spec);
         let conditions = &[Key::Own(k), Key::Job(id), Key::Meta];
         let size = GroupRecord::booking_bytes(&a, &spec.bundle, spec.size);
-        if !self.reserve(Needs { groups: &[at], usage: Some(k), job: None, conditions })
+        if !self.reserve(Needs { groups: &[at], usage: Some(k), conditions, ..Needs::default() })
             || !self.grow(at, size, SPARE_BYTES)
         {
             return false;
@@ -570,9 +605,11 @@
         r.tasks.push(Booking::of(a));
         let cache = view.machine_type(&r.build).map_or(0, |t| t.cache);
         r.use_image(&spec.bundle, spec.size, cache);
-        if let Some(u) = self.usage.get_mut(&k) {
+        if let Some(u) = self.usage.get_mut(&k).filter(|_| !self.fenced) {
             u.record.add(&spec.crew, spec.need.cores, spec.need.accelerators);
         }
+        let [more, _] = self.moved.entry(&spec.crew).or_default();
+        *more = (more.0 + spec.need.cores, more.1 + spec.need.accelerators);
         true
     }
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -183,7 +183,7 @@
         for (id, j) in jobs {
             let spec = j.spec();
             let k = self.view.job_slice(*id, spec);
-            let used = used.entry(&spec.crew).or_insert_with(|| self.view.usage[k].value.of(&spec.crew).0);
+            let used = used.entry(&spec.crew).or_insert_with(|| self.view.used(k, &spec.crew).0);
             let mut count = u64::from(self.view.pending_count(*id, j));
             if let Some(limit) = self.cfg.team(&spec.crew).and_then(|t| t.cores_limit) {
                 let left = limit.saturating_sub(*used).checked_div(spec.need.cores);
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -2,8 +2,9 @@
 
 use super::{Controller, Purpose};
 use crate::bookkeeping::ids::Slice;
-use crate::bookkeeping::records::{FIRST_LAYOUT, Key, MetaRecord, NodeRecord, OwnRecord};
+use crate::bookkeeping::records::{FIRST_LAYOUT, Key, MetaRecord, NodeRecord, OwnRecord, is_ruled};
 use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::Job;
 use crate::protocol::settings::Team;
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
 use std::collections::BTreeMap;
@@ -213,7 +214,8 @@
             tracing::info!(controllers = ?waiting, "waiting for the new version of these before new records are written");
             self.ownership.waited_for = waiting;
         }
-        if raised <= meta.layout {
+        // Rules that are kept are not given up: whoever was not seen since they were turned on is waited for.
+        if raised <= meta.layout || is_ruled(meta.layout) && !is_ruled(raised) {
             return;
         }
         self.ownership.meta_at = now + Micros::millis(500);
@@ -247,12 +249,9 @@
         }
         let mut record = meta.clone();
         for t in self.cfg.teams.iter().filter(|t| self.unplaced(t)) {
-            let settled = self.view.usage.iter().all(|u| {
-                let kept =
-                    u.value.ends.keys().any(|id| self.view.jobs.get(id).is_some_and(|j| j.spec().crew == t.name));
-                u.value.of(&t.name) == (0, 0) && !kept
-            });
-            if settled {
+            let none = (0..self.view.usage.len()).all(|k| self.view.used(k, &t.name) == (0, 0));
+            let kept = |j: &Job| j.spec().crew == t.name && !j.record.finished.covers(&j.ends);
+            if none && !self.view.jobs.values().any(kept) {
                 let k = record.teams.len() % record.slices.max(1);
                 record.teams.insert(t.name.clone(), k);
             }
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -11,6 +11,9 @@
     phase: Phase,
     contact: Micros,
     watching: bool,
+    /// When the watch under way was sent, and when a read was last answered.
+    watching_since: Option<Micros>,
+    answered: Micros,
     next_watch: Micros,
     barrier: Option<CallId>,
     wanted: bool,
@@ -58,6 +61,13 @@
         self.wanted_soon = true;
     }
 
+    /// Whether the copy is as new as can be: a watch is under way, which would have told of anything that changed
+    /// since it was sent, or a read was answered just now.
+    pub fn is_fresh(&self, now: Micros) -> bool {
+        const JUST_NOW: Micros = Micros::millis(8);
+        self.watching_since.is_some_and(|t| now.since(t) >= JUST_NOW) || now.since(self.answered) < JUST_NOW
+    }
+
     /// Whether a read that began after this call has completed.
     pub fn passed(&self, call: u64) -> bool {
         self.read > call
@@ -112,6 +122,7 @@
         let wait = if self.reader.ready() { Self::WATCH_WAIT } else { Micros::ZERO };
         let after = self.view.epoch;
         self.reader.watching = true;
+        self.reader.watching_since = Some(now);
         self.ask_state(Purpose::Watch, StateRequest::Changes { after, wait });
     }
 
@@ -186,6 +197,7 @@
         let now = self.now.steady;
         if watch {
             self.reader.watching = false;
+            self.reader.watching_since = None;
             self.reader.next_watch = now + Self::WATCH_SPACING;
         } else if self.reader.barrier == Some(id) {
             self.reader.barrier = None;
@@ -223,6 +235,7 @@
             return self.refuse_layout();
         }
         self.reader.contact = self.reader.contact.max(sent);
+        self.reader.answered = self.now.steady;
         self.reader.read = self.reader.read.max(id.0);
         if self.reader.phase == Phase::Listed {
             if epoch < self.reader.whole_at {
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -57,6 +57,8 @@
 pub struct Rounds {
     looking: bool,
     in_flight: bool,
+    /// The call after which a read was asked for before a round, and when that was.
+    reading: Option<(u64, Micros)>,
     next: Micros,
     /// When the last round was sent, and when the last one that had no room for all there was.
     last: Micros,
@@ -71,6 +73,8 @@
     releasing: BTreeSet<MachineId>,
     /// The last round was for what must start at once alone.
     lean: bool,
+    /// The last full round had no room left to book anything, so the next one books before it clears.
+    books_first: bool,
     /// No planning before the copy has passed this revision.
     hold_epoch: u64,
     /// No planning before a read that began after this call.
@@ -247,6 +251,9 @@
             self.wake_at(patient);
             return;
         }
+        if !self.read_before_round() {
+            return;
+        }
         self.refresh_bars();
         // A large round of what has time must not hold up what must start at once: that may overdraw.
         let lean_only = match self.budget.round(now) {
@@ -282,6 +289,28 @@
         self.ask_state(Purpose::Round(Box::new(in_flight)), StateRequest::Txn(commit.txn));
     }
 
+    /// Whether the copy is new enough for a round, or a read has made it so. The watch rests for a while after each
+    /// answer; what is planned in that time on what others have changed meanwhile would only clash.
+    fn read_before_round(&mut self) -> bool {
+        const PATIENCE: Micros = Micros::millis(100);
+        let now = self.now.steady;
+        if let Some((call, asked)) = self.rounds.reading {
+            if !self.reader.passed(call) && now < asked + PATIENCE {
+                self.wake_at(asked + PATIENCE);
+                return false;
+            }
+            self.rounds.reading = None;
+            return true;
+        }
+        if self.reader.is_fresh(now) || self.cfg.others.is_empty() || !self.budget.has_requests(now) {
+            return true;
+        }
+        self.rounds.reading = Some((self.next_call - 1, now));
+        self.reader.want_barrier();
+        self.wake_at(now + PATIENCE);
+        false
+    }
+
     /// Whether small rounds should be gathered into larger ones: a peer has more to write than its share
     /// of the rate, this controller has not, and nothing here must start at once.
     fn yields(&self) -> bool {
@@ -373,11 +402,16 @@
                 draft.remove(*m);
             }
         }
+        // Where a transaction holds few changes, clearings would leave nothing to bookings for as long as tasks end,
+        // and the other way round: they take turns.
+        let books_first = std::mem::take(&mut self.rounds.books_first);
+        let mut booked = if books_first { self.book(&mut draft, false) } else { Vec::new() };
         for (m, a, outcome) in self.rounds.clears_in_order(view, self.now.steady) {
             if draft.clear(m, a, outcome, view.machine_slice(m)) {
                 cleared += 1;
             }
         }
+        let full = draft.ops_left() == 0;
         for (m, mark) in &self.rounds.marks {
             draft.mark(*m, *mark, view.machine_slice(*m));
         }
@@ -413,12 +447,17 @@
         for (id, _) in view
             .jobs
             .iter()
-            .filter(|(id, j)| !j.ends.is_empty() && self.unplaced_job(j) && self.owns(view.job_slice(**id, j.spec())))
+            .filter(|(_, j)| !j.record.finished.covers(&j.ends) && self.unplaced_job(j))
+            .filter(|(id, j)| self.owns(view.job_slice(**id, j.spec())))
         {
             draft.settle(*id);
         }
-        let booked = self.book(&mut draft, false);
-        (!draft.is_empty()).then(|| Drafted { commit: draft.commit(), booked, cleared })
+        if !books_first {
+            booked = self.book(&mut draft, false);
+        }
+        let drafted = (!draft.is_empty()).then(|| Drafted { commit: draft.commit(), booked, cleared });
+        self.rounds.books_first = full && drafted.as_ref().is_some_and(|d| d.booked.is_empty());
+        drafted
     }
 
     /// Bytes that machines take when they are full, by type.
@@ -722,7 +761,7 @@
                 let k = self.view.job_slice(id, job.spec());
                 let team = self.cfg.team(&job.spec().crew);
                 let borrowed = team.is_some_and(|t| {
-                    let used = self.view.usage[k].value.of(&job.spec().crew);
+                    let used = self.view.used(k, &job.spec().crew);
                     used.0 > t.guarantee.0 + job.spec().need.cores
                 });
                 Some(Running { booking: *b, need: job.spec().need, urgency: job.urgency(), borrowed })
@@ -744,7 +783,7 @@
     fn borrows(&self, job: &Job, k: Slice) -> bool {
         let spec = job.spec();
         self.cfg.team(&spec.crew).is_some_and(|t| {
-            let used = self.view.usage[k].value.of(&spec.crew);
+            let used = self.view.used(k, &spec.crew);
             // A team without a guarantee is always beyond it.
             used.0 + spec.need.cores > t.guarantee.0
                 || spec.need.accelerators > 0 && used.1 + spec.need.accelerators > t.guarantee.1
--- a/src/coordination/rules.rs
+++ b/src/coordination/rules.rs
@@ -11,7 +11,7 @@
 use crate::bookkeeping::ids::{JobId, MachineId, TaskId};
 use crate::bookkeeping::job::JobSpec;
 use crate::bookkeeping::placement;
-use crate::bookkeeping::records::{Booking, Fitness, Key, MachineRecord, PIPED, RULED};
+use crate::bookkeeping::records::{Booking, FENCED, FENCED_RULED, Fitness, Key, MachineRecord, is_ruled};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Job, View};
 use crate::protocol::state::{Put, StateRequest, Txn, encode};
@@ -135,13 +135,14 @@
     /// The layout of records that this controller wants: rules need one of their own, which is only raised
     /// where they are turned on.
     pub(super) fn wanted_layout(&self) -> u32 {
-        let most = if self.rules.own.is_some() { RULED } else { PIPED };
+        let ruled = self.rules.own.is_some() || self.keeps_rules();
+        let most = if ruled { FENCED_RULED } else { FENCED };
         self.layout.min(most.max(self.view.layout()))
     }
 
     /// Whether every controller keeps rules.
     fn keeps_rules(&self) -> bool {
-        self.view.layout() >= RULED
+        is_ruled(self.view.layout())
     }
 
     pub(super) fn house(&self) -> House<'_> {
