Lost machines that a new owner never heard are given up; plans at 10,000 machines

A machine is asked before it is taken for silent, and one whose address no record keeps could not be asked. A plan looked at every machine for each waiting job, and sorted all of them for those it keeps.

Change: what cannot be asked counts as without an answer.

--- /dev/null
+++ b/benches/scale.rs
@@ -0,0 +1,253 @@
+//! How the work of a controller grows with machines and with waiting jobs: a plan, a batch of the watch, and reading
+//! everything at a start. Run with `cargo bench --bench scale`; not part of the tests.
+
+use cometlead::bookkeeping::amount::Amount;
+use cometlead::bookkeeping::catalog::{Catalog, MachineType};
+use cometlead::bookkeeping::ids::{Attempt, JobId, MachineId, TaskId};
+use cometlead::bookkeeping::job::JobRecord;
+use cometlead::bookkeeping::placement::{Ask, Groups, Slot, plan};
+use cometlead::bookkeeping::records::{Booking, Fitness, GroupRecord, Key, LAYOUT, MachineRecord, MetaRecord};
+use cometlead::bookkeeping::time::Micros;
+use cometlead::bookkeeping::view::{Change, Content, Touched, View};
+use cometlead::protocol::state::{decode, encode};
+use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use serde_json::value::RawValue;
+use std::collections::BTreeMap;
+use std::hint::black_box;
+
+const SIZES: [u64; 3] = [1_000, 10_000, 50_000];
+const WAITING: [u64; 2] = [1_000, 4_000];
+/// Machines of a group, slices, and tasks of a machine.
+const GROUP: u64 = 50;
+const SLICES: u64 = 5;
+const TASKS: u64 = 4;
+/// Tasks of a job.
+const PIECES: u64 = 40;
+/// Most claims of a plan, as a controller's rounds have it.
+const CLAIMS: usize = 256;
+
+fn catalog() -> Catalog {
+    let kind = |name: &str, cores: u64| MachineType {
+        name: name.to_owned(),
+        room: Amount { cores: cores * 1_000, accelerators: 0, memory: cores * 4_000 },
+        cache: 50_000,
+        fetch: 1_000,
+        price: cores * 100,
+        spot_price: cores * 40,
+        boot: Micros::secs(30),
+        zones: vec!["a".to_owned(), "b".to_owned()],
+    };
+    Catalog { types: vec![kind("small", 8), kind("large", 32)] }
+}
+
+fn job(i: u64) -> JobRecord {
+    let text = format!(
+        r#"{{"s":{{"l":"lane","w":"team","u":"2","n":{PIECES},"r":{{"c":{}000,"m":1000}},"i":"img-{}","s":true,"g":9000000}},"t":{i}}}"#,
+        1 + i % 4,
+        i % 40
+    );
+    serde_json::from_str(&text).expect("a job")
+}
+
+fn machine(m: u64) -> MachineRecord {
+    let tasks = (0..TASKS).map(|t| {
+        let n = m * TASKS + t;
+        let task = TaskId { job: JobId(1_000_000 + n / PIECES), index: (n % PIECES) as u32 };
+        Booking::of(Attempt { task, number: 70_000 + n })
+    });
+    MachineRecord {
+        build: if m.is_multiple_of(5) { "large" } else { "small" }.into(),
+        yard: if m.is_multiple_of(2) { "a" } else { "b" }.into(),
+        spot: !m.is_multiple_of(3),
+        endpoint: format!("10.0.{}.{}:9000", m / 250, m % 250).parse().ok(),
+        fitness: Fitness::Up,
+        dead: 0,
+        images: vec![(format!("img-{}", m % 40).into(), 500)],
+        tasks: tasks.collect(),
+        preempted: Vec::new(),
+    }
+}
+
+/// The records of a cluster, as the state service has them.
+fn records(machines: u64, waiting: u64) -> Vec<(Key, Content)> {
+    let meta = MetaRecord { layout: LAYOUT, slices: SLICES as usize, teams: BTreeMap::new() };
+    let mut all = vec![(Key::Meta, Content::Meta(meta)), (Key::Types, Content::Types(catalog()))];
+    let mut groups: BTreeMap<(u64, u64), GroupRecord> = BTreeMap::new();
+    for m in 0..machines {
+        let at = (m % SLICES, m / SLICES / GROUP);
+        groups.entry(at).or_default().machines.insert(MachineId(m), machine(m));
+    }
+    let groups = groups.into_iter().map(|((k, n), g)| {
+        let g = GroupRecord { terse: true, ..g };
+        (Key::Group(k as usize, n as u32), Content::Group(g))
+    });
+    all.extend(groups);
+    let running = (machines * TASKS).div_ceil(PIECES);
+    let jobs = (0..running).map(|i| 1_000_000 + i).chain(2_000_000..2_000_000 + waiting);
+    all.extend(jobs.map(|i| (Key::Job(JobId(i)), Content::Job(Box::new(job(i))))));
+    all
+}
+
+fn view(records: &[(Key, Content)]) -> View {
+    let mut view = View::default();
+    let changes = records.iter().map(|(k, c)| Change { key: k.clone(), content: Some(c.clone()), stamp: 1 });
+    view.apply(changes, &mut Touched::default());
+    view.advance(1);
+    view
+}
+
+fn text(content: &Content) -> Box<RawValue> {
+    let text = match content {
+        Content::Meta(r) => encode(r),
+        Content::Types(r) => encode(r),
+        Content::Group(r) => encode(r),
+        Content::Job(r) => encode(&**r),
+        _ => None,
+    };
+    text.expect("a record")
+}
+
+/// A plan over all machines, half of which have no room, for jobs that wait; those beyond the first few find none.
+fn plans(c: &mut Criterion) {
+    let mut group = c.benchmark_group("plan");
+    for (machines, waiting) in SIZES.map(|m| (m, 100)).into_iter().chain(WAITING.map(|w| (1_000, w))) {
+        let view = view(&records(machines, waiting));
+        let slots = || -> Vec<Slot<'_>> {
+            let slot = |(k, m, r): (usize, MachineId, &'_ MachineRecord)| {
+                let r = view.machine(m).unwrap_or_else(|| panic!("{r:?}"));
+                let t = view.machine_type(&r.build).expect("a type");
+                Slot {
+                    machine: m,
+                    group: (m.0 / GROUP) as usize,
+                    owner: k,
+                    build: &r.build,
+                    yard: &r.yard,
+                    spot: r.spot,
+                    price: t.price_of(r.spot),
+                    all: t.room,
+                    free: if m.0 % 2 == 0 { Amount::default() } else { view.free(r) },
+                    kept: false,
+                    images: &r.images,
+                    fetches: None,
+                    running: Vec::new(),
+                    class: 0,
+                    guarded: false,
+                    there: Vec::new(),
+                }
+            };
+            view.machines().map(slot).collect()
+        };
+        let asks = || -> Vec<Ask<'_>> {
+            let ids = (0..waiting).map(|i| JobId(2_000_000 + i));
+            ids.map(|id| {
+                let spec = view.jobs[&id].spec();
+                Ask {
+                    job: id,
+                    spec,
+                    urgency: spec.urgency,
+                    tasks: (0..spec.pieces).collect(),
+                    zones: BTreeMap::new(),
+                    most: u64::MAX,
+                    price_limit: u64::MAX,
+                    owner: (id.0 % SLICES) as usize,
+                    // One in five is this controller's; the others' take their turn.
+                    mine: id.0 % SLICES == 0,
+                    preempts: false,
+                    guaranteed: false,
+                    modest: false,
+                    whole: false,
+                    avoid: &[],
+                    rules: None,
+                }
+            })
+            .collect()
+        };
+        group.bench_function(BenchmarkId::from_parameter(format!("{machines} machines, {waiting} waiting")), |b| {
+            let groups = || Groups { open: vec![false; (machines / GROUP) as usize + 1], left: 11 };
+            b.iter_batched(
+                || (slots(), asks(), groups()),
+                |(mut s, mut a, mut g)| black_box(plan(&mut s, &mut a, &mut g, CLAIMS)),
+                BatchSize::LargeInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+/// Ten groups change in one task each, whatever the size of the whole.
+fn batches(c: &mut Criterion) {
+    let mut group = c.benchmark_group("watch batch of ten groups");
+    for machines in SIZES {
+        let records = records(machines, 100);
+        let mut view = view(&records);
+        let mut stamp = 1;
+        group.bench_function(BenchmarkId::from_parameter(format!("{machines} machines")), |b| {
+            b.iter_batched(
+                || {
+                    stamp += 1;
+                    let groups = records.iter().filter(|(k, _)| matches!(k, Key::Group(..))).take(10);
+                    let change = |(key, content): &(Key, Content)| {
+                        let mut content = content.clone();
+                        if let Content::Group(g) = &mut content
+                            && let Some(r) = g.machines.values_mut().next()
+                        {
+                            r.tasks.truncate(TASKS as usize - (stamp % 2) as usize);
+                        }
+                        Change { key: key.clone(), content: Some(content), stamp }
+                    };
+                    groups.map(change).collect::<Vec<_>>()
+                },
+                |changes| {
+                    let mut touched = Touched::default();
+                    view.apply(changes, &mut touched);
+                    view.advance(view.latest);
+                    black_box(touched)
+                },
+                BatchSize::SmallInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+/// All records are read, as after a restart.
+fn starts(c: &mut Criterion) {
+    let mut group = c.benchmark_group("start");
+    group.sample_size(10);
+    for machines in SIZES {
+        let texts: Vec<(Key, Box<RawValue>)> =
+            records(machines, 1_000).iter().map(|(k, content)| (k.clone(), text(content))).collect();
+        let bytes: usize = texts.iter().map(|(_, t)| t.get().len()).sum();
+        group.throughput(Throughput::Bytes(bytes as u64));
+        group.bench_function(BenchmarkId::from_parameter(format!("{machines} machines, 1000 waiting")), |b| {
+            b.iter(|| {
+                let read = texts.iter().map(|(k, t)| (k.clone(), decode(k, t).expect("a record")));
+                black_box(view(&read.collect::<Vec<_>>()).latest)
+            });
+        });
+    }
+    group.finish();
+}
+
+/// What teams have booked is added up anew after each change.
+fn usage(c: &mut Criterion) {
+    let mut group = c.benchmark_group("usage after a change");
+    for machines in SIZES {
+        let records = records(machines, 100);
+        let mut view = view(&records);
+        let changed = records.iter().find(|(k, _)| matches!(k, Key::Group(..))).expect("a group").clone();
+        let mut stamp = 1;
+        group.bench_function(BenchmarkId::from_parameter(format!("{machines} machines")), |b| {
+            b.iter(|| {
+                stamp += 1;
+                let change = Change { key: changed.0.clone(), content: Some(changed.1.clone()), stamp };
+                view.apply([change], &mut Touched::default());
+                black_box(view.used(0, "team"))
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(scale, plans, batches, starts, usage);
+criterion_main!(scale);
--- a/crates/queues/tests/answers.rs
+++ b/crates/queues/tests/answers.rs
@@ -51,5 +51,6 @@
     }
     let bytes = |body: Vec<u8>| Message { body, ..Message::default() }.wish();
     assert!(matches!(bytes(vec![b'{', 0xff, b'}']), Wish::Refuse(_)), "no UTF-8");
-    assert!(matches!(bytes(vec![b' '; 1 << 20]), Wish::Refuse(_)), "a body of 1 MiB");
+    let large = format!(r#"{{"lane":"a","note":"{}"}}"#, "x".repeat(1 << 20));
+    assert_eq!(bytes(large.into_bytes()), Wish::Refuse("the body is too large"));
 }
--- a/src/bookkeeping/placement.rs
+++ b/src/bookkeeping/placement.rs
@@ -289,6 +289,8 @@
     let mut claims = Vec::new();
     // Room only becomes less while planning: what is full now is not looked at again.
     let mut live: Vec<usize> = (0..slots.len()).filter(|i| slots[*i].free.cores > 0).collect();
+    // So what was looked for in vain need not be looked for again.
+    let mut vain: Vec<Shape<'a>> = Vec::new();
     // The others' claims only take room here. Beyond some number they are no longer worth following.
     let mut followed = 0;
     for ask in asks {
@@ -300,9 +302,16 @@
             continue;
         }
         let begun = claims.len();
-        place_job(slots, &live, ask, groups, most, &mut claims);
+        let shape = Shape::of(ask);
+        if shape.is_none_or(|s| !vain.contains(&s)) {
+            let found = place_job(slots, &live, ask, groups, most, &mut claims);
+            vain.extend(shape.filter(|_| !found));
+        }
         let placed = claims.len() - begun;
         if ask.whole && placed < ask.tasks.len() {
+            if placed > 0 {
+                vain.clear();
+            }
             take_back(slots, ask, &mut claims, begun);
         }
         keep(slots, &live, ask, (ask.tasks.len() - placed) as u64);
@@ -325,6 +334,34 @@
     }
 }
 
+/// What tells whether a machine has room for tasks of a job, where nothing else does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Shape<'a> {
+    need: Amount,
+    builds: Option<&'a [String]>,
+    yard: Option<&'a str>,
+    spot: bool,
+    price_limit: u64,
+    mine: bool,
+}
+
+impl<'a> Shape<'a> {
+    /// None where more has a say: rules, or the zone of its other tasks.
+    fn of(ask: &Ask<'a>) -> Option<Shape<'a>> {
+        let spec = ask.spec;
+        let shape = Shape {
+            need: spec.need,
+            builds: spec.builds.as_deref(),
+            yard: spec.yard.as_deref(),
+            spot: spec.loaners,
+            price_limit: ask.price_limit,
+            mine: ask.mine,
+        };
+        (ask.rules.is_none() && !spec.one_zone).then_some(shape)
+    }
+}
+
+/// Places tasks of a job; whether any machine has room for one.
 fn place_job<'a>(
     slots: &mut [Slot<'a>],
     live: &[usize],
@@ -332,7 +369,7 @@
     groups: &mut Groups,
     most: usize,
     claims: &mut Vec<Claim>,
-) {
+) -> bool {
     let mut zone = ask.zones.keys().next().copied().filter(|_| ask.spec.one_zone);
     if ask.spec.one_zone && zone.is_none() {
         zone = roomiest_zone(slots, ask);
@@ -367,11 +404,10 @@
     // until it is full: one ranking serves all tasks of the job.
     let mut best: BinaryHeap<_> =
         live.iter().filter(|i| fits(&slots[**i])).map(|i| Reverse((rank(&slots[*i]), *i))).collect();
+    let found = !best.is_empty();
     let mut tasks = ask.tasks.iter().take(ask.most.min(most as u64) as usize).peekable();
     while tasks.peek().is_some() && claims.len() < most {
-        let Some(Reverse((_, at))) = best.pop() else {
-            return;
-        };
+        let Some(Reverse((_, at))) = best.pop() else { break };
         let slot = &mut slots[at];
         // What is on it now is only looked at once its turn has come: most machines' never does.
         if !ask.admitted(slot) || ask.mine && !groups.take(slot.group) {
@@ -393,6 +429,7 @@
             ask.comes_to(slot);
         }
     }
+    found
 }
 
 /// Keeps the machines nearest to having room for what found none, so that smaller tasks of lower
@@ -403,16 +440,16 @@
         return;
     }
     let fits = |s: &Slot<'_>| ask.spec.need.fits(&s.all) && ask.takes(s);
-    let mut nearest: Vec<usize> = live.iter().copied().filter(|i| fits(&slots[*i])).collect();
+    let nearest: Vec<usize> = live.iter().copied().filter(|i| fits(&slots[*i])).collect();
     if !ask.whole && nearest.iter().any(|i| ask.spec.need.fits(&slots[*i].free)) {
         // There is room; it is the round that cannot take more.
         return;
     }
-    nearest.sort_by_key(|i| Reverse((slots[*i].free.cores, slots[*i].free.memory)));
-    for i in nearest.into_iter().take(slots.len().div_ceil(3)) {
-        if missing == 0 {
-            return;
-        }
+    // A few of many are wanted: they are not sorted.
+    let near = |i: usize| (slots[i].free.cores, slots[i].free.memory, Reverse(i), i);
+    let mut nearest: BinaryHeap<_> = nearest.into_iter().map(near).collect();
+    for _ in 0..slots.len().div_ceil(3) {
+        let Some((.., i)) = nearest.pop().filter(|_| missing > 0) else { return };
         let slot = &mut slots[i];
         slot.kept = true;
         missing = missing.saturating_sub(ask.spec.need.times_in(&slot.all, missing));
@@ -427,3 +464,77 @@
     }
     room.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::rngs::StdRng;
+    use rand::{RngExt, SeedableRng};
+
+    /// Jobs whose shape found no room are passed over, and that changes no plan: with price limits that differ, and
+    /// forbid nothing, all are looked for.
+    #[test]
+    fn passing_over_shapes_changes_nothing() {
+        let record = |text: String| serde_json::from_str::<JobSpec>(&text).expect("a job");
+        for seed in 0..400 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let specs: Vec<JobSpec> = (0..30)
+                .map(|_| {
+                    let set = if rng.random_range(0..6) == 0 { r#""q":true,"# } else { "" };
+                    let zone = if rng.random_range(0..5) == 0 { r#""y":"a","# } else { "" };
+                    let (n, cores) = (rng.random_range(1..6), rng.random_range(1..5));
+                    record(format!(
+                        r#"{{"l":"x","w":"t","u":"2","n":{n},{set}{zone}"r":{{"c":{cores}000}},"i":"i","g":1}}"#
+                    ))
+                })
+                .collect();
+            let free: Vec<u64> = (0..12).map(|_| rng.random_range(0..6) * 1_000).collect();
+            let mine: Vec<bool> = specs.iter().map(|_| rng.random()).collect();
+            let planned = |differ: bool| {
+                let slot = |(i, free): (usize, &u64)| Slot {
+                    machine: MachineId(i as u64),
+                    group: i / 3,
+                    owner: i % 2,
+                    build: "small",
+                    yard: if i % 2 == 0 { "a" } else { "b" },
+                    spot: false,
+                    price: 1,
+                    all: Amount { cores: 6_000, accelerators: 0, memory: 0 },
+                    free: Amount { cores: *free, accelerators: 0, memory: 0 },
+                    kept: false,
+                    images: &[],
+                    fetches: None,
+                    running: Vec::new(),
+                    class: 0,
+                    guarded: false,
+                    there: Vec::new(),
+                };
+                let mut slots: Vec<Slot<'_>> = free.iter().enumerate().map(slot).collect();
+                let mut asks: Vec<Ask<'_>> = specs
+                    .iter()
+                    .enumerate()
+                    .map(|(i, spec)| Ask {
+                        job: JobId(i as u64),
+                        spec,
+                        urgency: spec.urgency,
+                        tasks: (0..spec.pieces).collect(),
+                        zones: BTreeMap::new(),
+                        most: u64::MAX,
+                        price_limit: u64::MAX - if differ { i as u64 } else { 0 },
+                        owner: 0,
+                        mine: mine[i],
+                        preempts: false,
+                        guaranteed: false,
+                        modest: false,
+                        whole: spec.together(),
+                        avoid: &[],
+                        rules: None,
+                    })
+                    .collect();
+                let mut groups = Groups { open: vec![false; 4], left: 3 };
+                plan(&mut slots, &mut asks, &mut groups, 20)
+            };
+            assert_eq!(planned(false), planned(true), "seed {seed}");
+        }
+    }
+}
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -596,8 +596,10 @@
                     self.rounds.clear(*m, b.attempt(), Outcome::Again, now);
                 }
             } else if !deaf && fitness < Fitness::Lost && (s.word.is_some() || wordless > due + unheard) {
-                // Its reports may have gone elsewhere, or this process may be behind: it is asked.
-                if !s.unreachable {
+                // Its reports may have gone elsewhere, or this process may be behind: it is asked. One whose address
+                // is not known (records keep no names, and it was never heard here) cannot be: without this it and
+                // its tasks would be waited for without end.
+                if !s.unreachable && !s.endpoint.is_empty() {
                     probes.push(*m);
                 } else if self.rounds.mark(*m, Mark { fitness: Fitness::Lost, dead }) {
                     tracing::info!(machine = %m, quiet = %wordless, "silent, takes no more work");
--- a/tests/runner/check.rs
+++ b/tests/runner/check.rs
@@ -40,6 +40,8 @@
     pub later: BTreeMap<String, f64>,
     cancel: u64,
     on: BTreeMap<Task, u64>,
+    /// The same by machine.
+    here: BTreeMap<u64, BTreeSet<Task>>,
     done: BTreeMap<u64, BTreeSet<u32>>,
     accepted: BTreeMap<u64, u64>,
     told: BTreeMap<u64, (&'static str, u64)>,
@@ -86,7 +88,7 @@
         match deed {
             Deed::Ended(t, why) => {
                 if self.on.get(t) == Some(&machine) {
-                    self.on.remove(t);
+                    self.off(*t);
                 }
                 if *why == "done" {
                     self.done.entry(t.0).or_default().insert(t.1);
@@ -103,23 +105,24 @@
                 if let Some(at) = self.submitted.get(&t.0) {
                     self.waited.entry(*t).or_insert(now - at);
                 }
-                if let Some(other) = self.on.insert(*t, machine)
-                    && other != machine
-                {
+                let other = self.off(*t);
+                self.on.insert(*t, machine);
+                self.here.entry(machine).or_default().insert(*t);
+                if let Some(other) = other.filter(|o| *o != machine) {
                     self.rule(now, format!("ran_twice: {} starts on {machine} while on {other}", task_name(*t)));
                 }
                 let Some(asked) = self.asked.get(&t.0).cloned() else {
                     return self.rule(now, format!("{} was never submitted", task_name(*t)));
                 };
-                let used = self.used(&asked.team);
-                if let Some(limit) = self.limits.get(&asked.team).copied().filter(|l| *l > 0.0)
-                    && used > limit + 1e-6
-                {
-                    self.rule(now, format!("quota: {} uses {used} of {limit}", asked.team));
+                if let Some(limit) = self.limits.get(&asked.team).copied().filter(|l| *l > 0.0) {
+                    let used = self.used(&asked.team);
+                    if used > limit + 1e-6 {
+                        self.rule(now, format!("quota: {} uses {used} of {limit}", asked.team));
+                    }
                 }
                 let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
-                for (o, m) in &self.on {
-                    if o.0 == t.0 {
+                if asked.one_zone || asked.apart {
+                    for (_, m) in self.on.range((t.0, 0)..=(t.0, u32::MAX)) {
                         *zones.entry(machines[m].yard.as_str()).or_default() += 1;
                     }
                 }
@@ -129,8 +132,7 @@
                     || asked.one_zone && zones.len() > 1
                     || asked.apart && zones.values().any(|n| *n > asked.pieces.div_ceil(2));
                 self.places.entry(t.0).or_default().push(info.clone());
-                let beside: BTreeSet<u64> =
-                    self.on.iter().filter(|(o, m)| **m == machine && o.0 != t.0).map(|(o, _)| o.0).collect();
+                let beside: BTreeSet<u64> = self.here[&machine].iter().filter(|o| o.0 != t.0).map(|o| o.0).collect();
                 if let Some(rule) = self.laws.broken(now, &self.asked, t.0, (machine, info), &beside) {
                     self.rule(now, format!("rule_broken: {rule}: {} on {machine} {info:?}", task_name(*t)));
                 }
@@ -144,6 +146,13 @@
         }
     }
 
+    /// A task is not running any more; where it was.
+    fn off(&mut self, t: Task) -> Option<u64> {
+        let machine = self.on.remove(&t)?;
+        self.here.get_mut(&machine)?.remove(&t);
+        Some(machine)
+    }
+
     /// The jobs that a job names.
     fn awaited(&self, job: u64) -> Vec<u64> {
         self.asked.get(&job).map(|a| a.awaits.clone()).unwrap_or_default()
@@ -194,7 +203,7 @@
             .copied()
             .collect();
         for t in late {
-            self.on.remove(&t);
+            self.off(t);
             self.rule(now, format!("ran_cancelled: {} is still there", task_name(t)));
         }
     }
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -617,14 +617,16 @@
                 }
                 other => panic!("{other:?} cannot hang"),
             },
-            Step::Take { machine, notice } => {
-                if let Some(w) = self.workers.get_mut(&machine).filter(|_| notice > 0) {
-                    w.recall_at = Some(now + notice);
-                    w.changed = true;
-                    let next = w.next_deadline();
-                    self.at(next, Happening::Worker(machine));
+            Step::Take { machine, count, notice } => {
+                for machine in machine..machine + count {
+                    if let Some(w) = self.workers.get_mut(&machine).filter(|_| notice > 0) {
+                        w.recall_at = Some(now + notice);
+                        w.changed = true;
+                        let next = w.next_deadline();
+                        self.at(next, Happening::Worker(machine));
+                    }
+                    self.at(now + notice, Happening::Gone(machine));
                 }
-                self.at(now + notice, Happening::Gone(machine));
             }
             Step::Boots { factor, span } => self.cloud.slow = (factor, now + span),
             Step::Polls { job, count, rate, span } => {
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -94,8 +94,10 @@
         party: Party,
         span: u64,
     },
+    /// Machines are taken back, by number from this one on.
     Take {
         machine: u64,
+        count: u64,
         notice: u64,
     },
     Faulty {
@@ -526,7 +528,8 @@
         "hang" => (Step::Hang { party: w.word(3, Party::parse)?, span: w.need("for", micros)? }, 4),
         "take" => {
             let notice = w.take("notice", micros)?.unwrap_or(0);
-            (Step::Take { machine: w.word(3, machine)?, notice }, 4)
+            let count = w.take("count", |t| t.parse().ok())?.unwrap_or(1);
+            (Step::Take { machine: w.word(3, machine)?, count, notice }, 4)
         }
         "boots" => {
             let factor = w.need("factor", |t| t.parse::<f64>().ok().filter(|f| *f >= 0.0))?;
