Rounds, drafts and the fleet's work cut into modules that one can read at once

Need: rounds.rs, draft.rs and fleet.rs were past what one reads at once, and view and pipeline imported each other.

Change: rounds into drafting, asks and order; drafts into edits and ends, with tests apart; the fleet into answers and returns; live jobs in a module that view and pipeline both import. Methods moved as they were, none changed.

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -10,6 +10,7 @@
 pub mod group;
 pub mod ids;
 pub mod job;
+pub mod live;
 pub mod pipeline;
 pub mod placement;
 pub mod records;
--- a/src/bookkeeping/pipeline.rs
+++ b/src/bookkeeping/pipeline.rs
@@ -5,8 +5,8 @@
 
 use super::ids::JobId;
 use super::job::{FinalRecord, JobSpec, Urgency};
+use super::live::Job;
 use super::time::Micros;
-use super::view::Job;
 use std::collections::{BTreeSet, HashMap};
 
 /// Where a job stands in its pipeline.
--- a/src/coordination/draft/shrink.rs
+++ b/src/coordination/draft/shrink.rs
@@ -133,6 +133,7 @@
     use crate::bookkeeping::job::{JobRecord, JobSpec, Urgency};
     use crate::bookkeeping::records::{Booking, Incarnation, LAYOUT, UsageRecord};
     use crate::bookkeeping::view::{Change, Content, Touched};
+    use crate::coordination::sessions::Outcome;
     use crate::protocol::state::encode;
     use std::collections::{BTreeMap, BTreeSet};
 
@@ -213,7 +214,7 @@
             // machine that is copied now is cleared.
             let (m, record) = view.groups[0][&0].value.machines.last_key_value().unwrap();
             let mut late = Draft::new(&view, limits(16 * 1_024));
-            assert!(late.clear(*m, record.tasks[0].attempt(), super::super::Outcome::Again, 7));
+            assert!(late.clear(*m, record.tasks[0].attempt(), Outcome::Again, 7));
             let late = late.commit();
             let commit = step(&view, &key, MOST).expect("a step");
             let again = step(&view, &key, MOST).expect("a step");
@@ -236,7 +237,7 @@
                 copied += 1;
                 let mut draft = Draft::new(&view, limits(MOST));
                 let booking = view.machine(stale).unwrap().tasks[0].attempt();
-                assert!(draft.clear(stale, booking, super::super::Outcome::Again, 0));
+                assert!(draft.clear(stale, booking, Outcome::Again, 0));
                 assert!(!draft.remove(stale), "it would come up again");
             }
         }
--- /dev/null
+++ b/src/coordination/draft/tests.rs
@@ -0,0 +1,133 @@
+//! Drafts: machines, groups, ends of large jobs.
+
+use super::{Commit, Draft, Limits};
+use crate::bookkeeping::finished::CHUNK;
+use crate::bookkeeping::ids::{Attempt, JobId, MachineId};
+use crate::bookkeeping::job::JobRecord;
+use crate::bookkeeping::records::{Booking, Fitness, GroupRecord, Key, MachineRecord};
+use crate::bookkeeping::records::{FIRST_LAYOUT, MetaRecord, TERSE};
+use crate::bookkeeping::view::Touched;
+use crate::bookkeeping::view::{Change, Content, View};
+use crate::coordination::sessions::Outcome;
+use std::collections::BTreeMap;
+
+pub(super) fn machine() -> MachineRecord {
+    MachineRecord {
+        build: "small".into(),
+        yard: "a".into(),
+        spot: true,
+        endpoint: None,
+        fitness: Fitness::Up,
+        dead: 0,
+        images: Vec::new(),
+        tasks: Vec::new(),
+        preempted: Vec::new(),
+    }
+}
+
+fn drafted(view: &View, work: impl FnOnce(&mut Draft<'_>)) -> Commit {
+    // Groups have room for two machines.
+    let limits =
+        Limits { ops: 12, conditions: 48, value_bytes: 4_096, taken_bytes: 4_096, large_grow: false, part_bytes: 500 };
+    let mut draft = Draft::new(view, limits);
+    work(&mut draft);
+    draft.commit()
+}
+
+fn add(d: &mut Draft<'_>, m: u64) {
+    assert!(d.add(0, MachineId(m), machine(), &|_| 200));
+}
+
+/// Whether the store would apply the transaction, as the view knows the store.
+pub(super) fn holds(view: &View, commit: &Commit) -> bool {
+    commit.txn.when.iter().all(|(k, s)| view.stamp(k) == *s)
+}
+
+pub(super) fn apply(view: &mut View, commit: Commit, stamp: u64) {
+    assert!(holds(view, &commit));
+    view.apply(commit.changes.into_iter().map(|c| Change { stamp, ..c }), &mut Touched::default());
+    view.advance(stamp);
+}
+
+fn new_view() -> View {
+    view_of(FIRST_LAYOUT)
+}
+
+/// A copy with nothing in it.
+pub(super) fn view_of(layout: u32) -> View {
+    let mut view = View::default();
+    let meta = MetaRecord { layout, slices: 1, teams: BTreeMap::new() };
+    let change = Change { key: Key::Meta, content: Some(Content::Meta(meta)), stamp: 1 };
+    view.apply([change], &mut Touched::default());
+    view.advance(1);
+    view
+}
+
+/// An addition without an answer must not be carried out beside a later one of the same machine
+/// to another group, which has room since a machine has gone: the machine would be in two.
+#[test]
+fn a_machine_is_added_once() {
+    let mut view = new_view();
+    let commit = drafted(&view, |d| (1..=4).for_each(|m| add(d, m)));
+    apply(&mut view, commit, 2);
+    assert_eq!(view.home(MachineId(4)), Some((0, 1)));
+    let unanswered = drafted(&view, |d| add(d, 5));
+    let commit = drafted(&view, |d| assert!(d.remove(MachineId(3))));
+    apply(&mut view, commit, 3);
+    let commit = drafted(&view, |d| add(d, 5));
+    apply(&mut view, commit, 4);
+    assert_eq!(view.home(MachineId(5)), Some((0, 1)));
+    assert!(!holds(&view, &unanswered), "it is in two groups now");
+}
+
+/// Groups open when the others are full and close when they are empty, but for the first.
+#[test]
+fn groups_open_and_close() {
+    let mut view = new_view();
+    let commit = drafted(&view, |d| (1..=5).for_each(|m| add(d, m)));
+    apply(&mut view, commit, 2);
+    assert_eq!(view.groups[0].len(), 3);
+    let commit = drafted(&view, |d| (1..=5).for_each(|m| assert!(d.remove(MachineId(m)))));
+    apply(&mut view, commit, 3);
+    assert_eq!(view.groups[0].keys().copied().collect::<Vec<_>>(), [0]);
+}
+
+/// With few changes in a transaction the last task of a job with several chunks and the end of the
+/// job go out one after the other, and nobody who reads in between takes it for less than done.
+#[test]
+fn the_end_of_a_large_job_takes_two_steps() {
+    let mut view = view_of(TERSE);
+    let text = r#"{"s":{"l":"lane","w":"free","u":"2","n":8193,"r":{"c":1000},"i":"img","g":9000000},"t":1}"#;
+    let mut record: JobRecord = serde_json::from_str(text).unwrap();
+    (0..CHUNK).for_each(|i| {
+        record.finished.insert(i);
+    });
+    let id = JobId(7);
+    let last = Attempt { task: crate::bookkeeping::ids::TaskId { job: id, index: CHUNK }, number: 2 };
+    let mut g = GroupRecord::default();
+    let mut r = machine();
+    r.tasks.push(Booking::of(last));
+    g.machines.insert(MachineId(1), r);
+    let contents = [(Key::Job(id), Content::Job(Box::new(record))), (Key::Group(0, 0), Content::Group(g))];
+    view.apply(
+        contents.map(|(key, content)| Change { key, content: Some(content), stamp: 2 }),
+        &mut Touched::default(),
+    );
+    view.advance(2);
+    let limits =
+        Limits { ops: 4, conditions: 16, value_bytes: 2_048, taken_bytes: 2_048, large_grow: false, part_bytes: 1_920 };
+    let mut draft = Draft::new(&view, limits);
+    assert!(draft.clear(MachineId(1), last, Outcome::Done, 0), "never cleared");
+    let commit = draft.commit();
+    assert!(commit.txn.then.len() <= 4 && commit.ended.is_empty());
+    assert!(commit.txn.largest() <= 2_048, "{} bytes", commit.txn.largest());
+    apply(&mut view, commit, 3);
+    assert_eq!(view.jobs[&id].done(), CHUNK + 1);
+    let mut draft = Draft::new(&view, limits);
+    assert!(draft.end_done(id));
+    let commit = draft.commit();
+    assert_eq!(commit.ended.len(), 1);
+    assert_eq!(commit.ended[0].1.done, CHUNK + 1);
+    apply(&mut view, commit, 4);
+    assert!(view.jobs.is_empty());
+}
--- /dev/null
+++ b/src/coordination/fleet/answers.rs
@@ -0,0 +1,244 @@
+//! What the cloud answers, and the plan of the fleet that follows from it.
+
+use super::{CloudPurpose, Known};
+use crate::bookkeeping::catalog::Catalog;
+use crate::bookkeeping::fleet::Offer;
+use crate::bookkeeping::ids::MachineId;
+use crate::bookkeeping::records::{FleetRecord, HireRecord, Key};
+use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::{Change, Content, Touched};
+use crate::coordination::{Call, CallId, Controller, Effect, Purpose};
+use crate::protocol::cloud::{CloudReply, CloudRequest, Host, HostStatus};
+use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
+
+impl Controller {
+    pub(super) fn ask_cloud(&mut self, purpose: CloudPurpose, request: CloudRequest) {
+        let id = self.call(Purpose::Cloud(purpose));
+        self.out.push(Effect::Cloud(id, request, Self::CLOUD_LIMIT));
+    }
+
+    /// The fleet's record without what is long settled.
+    pub(super) fn fleet_record(&self) -> FleetRecord {
+        let mut record = self.view.fleet.value.clone();
+        let old = self.cfg.list_lag * 4 + Micros::secs(60);
+        record.hires.retain(|h| self.now.day.since(h.at) < old);
+        record.releasing.retain(|m| !self.fleet.confirmed.contains(m));
+        record
+    }
+
+    pub(super) fn write_fleet(&mut self, record: FleetRecord, new: Vec<HireRecord>) {
+        let value = encode(&record);
+        if value.as_ref().is_none_or(|v| v.get().len() > self.limits.taken_bytes()) {
+            // Written under larger limits. Rentals are soon old enough to be left out, and releases answered.
+            return;
+        }
+        let txn = Txn {
+            when: vec![(Key::Own(0), self.view.stamp(&Key::Own(0))), (Key::Fleet, self.view.fleet.stamp)],
+            then: vec![Put { key: Key::Fleet, value, permit: None }],
+        };
+        self.fleet.writing = true;
+        self.budget.force(self.now.steady, 1);
+        self.ask_state(Purpose::Fleet(Box::new((record, new))), StateRequest::Txn(txn));
+    }
+
+    /// The plan is on record: what is new in it is rented now. That is known by what was written,
+    /// not by comparing with the copy: the watch may have brought the record before this answer.
+    pub(in crate::coordination) fn on_fleet_written(
+        &mut self,
+        (record, new): (FleetRecord, Vec<HireRecord>),
+        result: Result<StateReply, CallError>,
+    ) {
+        self.fleet.writing = false;
+        self.fleet.looking = true;
+        let Ok(StateReply::Applied(stamp)) = result else {
+            tracing::debug!(?result, "the plan of the fleet was not written");
+            self.reader.want_barrier();
+            return;
+        };
+        let change = Change { key: Key::Fleet, content: Some(Content::Fleet(record)), stamp };
+        self.view.apply([change], &mut Touched::default());
+        if !self.owns(0) {
+            return;
+        }
+        for h in new {
+            tracing::info!(hire = h.name, build = h.build, spot = h.spot, count = h.count, "hiring");
+            self.fleet.hiring += 1;
+            let request = CloudRequest::Hire {
+                name: h.name.clone(),
+                build: h.build.clone(),
+                yard: h.yard.clone(),
+                spot: h.spot,
+                count: h.count,
+            };
+            self.ask_cloud(CloudPurpose::Hire(h), request);
+        }
+    }
+
+    pub(in crate::coordination) fn on_cloud(&mut self, id: CallId, result: Result<CloudReply, CallError>) {
+        let Some(Call { purpose: Purpose::Cloud(purpose), .. }) = self.calls.remove(&id) else {
+            return;
+        };
+        if !self.owns(0) {
+            return;
+        }
+        let now = self.now.steady;
+        if matches!(result, Err(CallError::Unavailable | CallError::TooMany | CallError::Unknown)) {
+            self.fleet.trouble_until = now + Micros::millis(1_500);
+        }
+        match purpose {
+            CloudPurpose::Catalog => {
+                self.fleet.asking_catalog = false;
+                match result {
+                    Ok(CloudReply::Catalog(c)) => {
+                        self.fleet.next_catalog = now + Micros::secs(30);
+                        self.on_catalog(c);
+                    }
+                    _ => self.fleet.next_catalog = now + Micros::secs(1),
+                }
+            }
+            CloudPurpose::List(pages) => self.on_list(pages, result),
+            CloudPurpose::Hire(h) => self.on_hired(&h, result),
+            CloudPurpose::Release(machines) => self.on_released(&machines, result),
+        }
+    }
+
+    fn on_catalog(&mut self, new: Catalog) {
+        let moved = |a: u64, b: u64| a.abs_diff(b) * 20 > b.max(1);
+        let same = self.view.types.value.as_ref().is_some_and(|old| {
+            old.types.len() == new.types.len()
+                && old.types.iter().zip(&new.types).all(|(a, b)| {
+                    let mut b = b.clone();
+                    let small = !moved(a.spot_price, b.spot_price);
+                    b.spot_price = a.spot_price;
+                    small && *a == b
+                })
+        });
+        let value = encode(&new);
+        let size = value.as_ref().map_or(0, |v| v.get().len());
+        if same || size > self.limits.value_bytes() {
+            return;
+        }
+        let txn = Txn {
+            when: vec![(Key::Own(0), self.view.stamp(&Key::Own(0))), (Key::Types, self.view.types.stamp)],
+            then: vec![Put { key: Key::Types, value, permit: None }],
+        };
+        self.budget.force(self.now.steady, 1);
+        self.ask_state(Purpose::Types(new), StateRequest::Txn(txn));
+    }
+
+    pub(in crate::coordination) fn on_types_written(&mut self, types: Catalog, result: Result<StateReply, CallError>) {
+        match result {
+            Ok(StateReply::Applied(stamp)) => {
+                let change = Change { key: Key::Types, content: Some(Content::Types(types)), stamp };
+                let mut touched = Touched::default();
+                self.view.apply([change], &mut touched);
+                self.on_touched_view(&touched);
+            }
+            _ => {
+                self.fleet.next_catalog = self.now.steady + Micros::secs(1);
+                self.reader.want_barrier();
+            }
+        }
+    }
+
+    fn on_hired(&mut self, h: &HireRecord, result: Result<CloudReply, CallError>) {
+        let now = self.now.steady;
+        self.fleet.hiring = self.fleet.hiring.saturating_sub(1);
+        self.fleet.looking = true;
+        let offer = Offer { build: h.build.clone(), yard: h.yard.clone(), spot: h.spot };
+        match result {
+            Ok(CloudReply::Hired(machines)) => {
+                tracing::info!(hire = h.name, asked = h.count, got = machines.len(), "hired");
+                if (machines.len() as u32) < h.count {
+                    self.fleet.none_left.insert(offer, (now + Micros::secs(5), 1));
+                } else {
+                    self.fleet.none_left.remove(&offer);
+                }
+                for m in machines {
+                    self.fleet.known.entry(m).or_insert(Known {
+                        build: h.build.clone(),
+                        yard: h.yard.clone(),
+                        spot: h.spot,
+                        since: now,
+                        status: HostStatus::Starting,
+                        listed: None,
+                        booting: true,
+                    });
+                }
+                self.forget_hire(&h.name);
+            }
+            Ok(CloudReply::NoCapacity) | Err(CallError::Refused) => {
+                let tries = self.fleet.none_left.get(&offer).map_or(0, |(_, n)| *n) + 1;
+                let pause = Micros::secs(3 * u64::from(tries.min(5)));
+                tracing::info!(build = h.build, spot = h.spot, pause = %pause, "none to be had");
+                self.fleet.none_left.insert(offer, (now + pause, tries));
+                self.forget_hire(&h.name);
+            }
+            // Perhaps hired: the record keeps it counted until a list would show it.
+            other => tracing::info!(hire = h.name, ?other, "the rental had no answer"),
+        }
+    }
+
+    /// What came of a rental is known: it no longer counts by its record. The copy of this
+    /// process alone is corrected; another owner would read the list first.
+    fn forget_hire(&mut self, name: &str) {
+        self.view.fleet.value.hires.retain(|h| h.name != name);
+    }
+
+    fn on_list(&mut self, mut hosts: Vec<Host>, result: Result<CloudReply, CallError>) {
+        let now = self.now.steady;
+        let Ok(CloudReply::Hosts(page, more)) = result else {
+            self.fleet.listing = false;
+            self.fleet.next_list = now + Micros::secs(2);
+            return;
+        };
+        hosts.extend(page);
+        if let (true, Some(last)) = (more, hosts.last()) {
+            let after = last.id;
+            self.ask_cloud(CloudPurpose::List(hosts), CloudRequest::List(Some(after)));
+            return;
+        }
+        self.fleet.listing = false;
+        self.fleet.next_list = now + Micros::secs(4);
+        self.fleet.lists += 1;
+        let sent = self.fleet.list_sent;
+        self.fleet.last_list = sent;
+        for h in hosts {
+            if h.status == HostStatus::Failed && self.view.machine(h.id).is_some() {
+                tracing::info!(machine = %h.id, "failed, says the cloud");
+                self.rounds.gone(h.id);
+            }
+            let nominal = self.nominal_boot(&h.build);
+            let known = self.fleet.known.entry(h.id).or_insert_with(|| Known {
+                build: h.build.clone(),
+                yard: h.yard.clone(),
+                spot: h.spot,
+                since: now - h.age,
+                status: h.status,
+                listed: None,
+                // Of one that an earlier owner hired long ago only those are left that never come up.
+                booting: h.status == HostStatus::Starting && h.age < nominal,
+            });
+            known.status = h.status;
+            known.listed = Some(sent);
+        }
+        let view = &self.view;
+        let old = self.cfg.list_lag * 3 + Micros::secs(20);
+        self.fleet.known.retain(|m, k| {
+            let last = k.listed.unwrap_or(k.since);
+            view.machine(*m).is_some() || now.since(last) < old
+        });
+    }
+
+    fn on_released(&mut self, machines: &[MachineId], result: Result<CloudReply, CallError>) {
+        for m in machines {
+            self.fleet.releasing.remove(m);
+            if result == Ok(CloudReply::Released) {
+                tracing::info!(machine = %m, "returned");
+                self.fleet.known.remove(m);
+                self.fleet.confirmed.insert(*m);
+                self.rounds.gone(*m);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet/returns.rs
@@ -0,0 +1,149 @@
+//! Which machines are returned, and when.
+
+use super::CloudPurpose;
+use crate::bookkeeping::fleet::{Offer, core_price};
+use crate::bookkeeping::ids::{JobId, MachineId};
+use crate::bookkeeping::records::Fitness;
+use crate::bookkeeping::time::Micros;
+use crate::coordination::Controller;
+use crate::protocol::cloud::{CloudRequest, HostStatus, RELEASE_LIMIT};
+use std::collections::{BTreeMap, HashMap};
+
+impl Controller {
+    /// How long a machine is kept without work: as long as its next boot would take, a dear one
+    /// only for a moment. Less than the shortest charge is never saved.
+    fn idle_limit(&self, build: &str, spot: bool) -> Micros {
+        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let cheapest = types.map(|t| core_price(t, true).min(core_price(t, false))).min().unwrap_or(0);
+        let derived = match self.view.machine_type(build) {
+            Some(t) if core_price(t, spot) > cheapest * 3 / 2 => Micros::secs(5),
+            t => t.map_or(Micros::secs(30), |t| self.expected_boot(build).clamp(Micros::secs(2), t.boot * 2)),
+        };
+        self.op.idle_s.map_or(derived, Micros::from_secs_f64)
+    }
+
+    pub(super) fn return_machines(&mut self) {
+        let now = self.now.steady;
+        let mut release = Vec::new();
+        let mut marks = Vec::new();
+        let mut seen_idle = HashMap::new();
+        let mut seen_lost = HashMap::new();
+        let mut idle_of: BTreeMap<Offer, Vec<(Micros, MachineId)>> = BTreeMap::new();
+        for (_, m, r) in self.view.machines() {
+            let idle = r.tasks.is_empty();
+            let since = *self.fleet.idle.get(&m).unwrap_or(&now);
+            if idle {
+                seen_idle.insert(m, since);
+            }
+            match r.fitness {
+                Fitness::Releasing => release.push(m),
+                Fitness::Draining if idle => marks.push((m, "drained")),
+                Fitness::Lost => {
+                    let lost = *self.fleet.lost.get(&m).unwrap_or(&now);
+                    seen_lost.insert(m, lost);
+                    let quiet = now.since(lost);
+                    let pressed = r.tasks.iter().any(|b| self.pressed(b.attempt().task.job));
+                    if self.unlisted(m) {
+                        marks.push((m, "silent and not listed"));
+                    } else if pressed {
+                        marks.push((m, "silent, and its tasks can still be in time elsewhere"));
+                    } else if quiet > self.cfg.lease + if idle { Micros::secs(20) } else { Micros::ZERO } {
+                        marks.push((m, "silent for long"));
+                    }
+                }
+                Fitness::Up if idle && now.since(since) > self.idle_limit(&r.build, r.spot) => marks.push((m, "idle")),
+                Fitness::Up if idle => {
+                    let offer = Offer { build: r.build.to_string(), yard: r.yard.to_string(), spot: r.spot };
+                    idle_of.entry(offer).or_default().push((since, m));
+                }
+                _ => {}
+            }
+        }
+        for offer in self.fleet.spare.keys() {
+            idle_of.entry(offer.clone()).or_default();
+        }
+        for (offer, mut idle) in idle_of {
+            let window = self.idle_limit(&offer.build, offer.spot);
+            let spare = self.fleet.spare.entry(offer).or_default();
+            let count = spare.note(now, idle.len(), window);
+            spare.take(count);
+            // Those that have been idle the longest.
+            idle.sort_unstable();
+            marks.extend(idle.into_iter().take(count).map(|(_, m)| (m, "spare")));
+        }
+        self.fleet.idle = seen_idle;
+        self.fleet.lost = seen_lost;
+        for (m, why) in marks {
+            if self.rounds.releasing(m) {
+                tracing::info!(machine = %m, why, "returning");
+            }
+        }
+        let mut given_up = Vec::new();
+        for (m, k) in &self.fleet.known {
+            let age = now.since(k.since);
+            let unused = self.view.machine(*m).is_none() && k.status != HostStatus::Failed;
+            let late = self
+                .view
+                .machine_type(&k.build)
+                .is_none_or(|t| age > self.boot_patience(&k.build).max(t.boot * 3) + Micros::secs(5));
+            let released = self.fleet.released.contains(m) || self.view.fleet.value.releasing.contains(m);
+            if unused && late && !released {
+                given_up.push((*m, age));
+            }
+        }
+        let none = given_up.is_empty();
+        self.give_up(given_up);
+        if none {
+            // An earlier owner may have given them up as well.
+            let recorded = self.view.fleet.value.releasing.iter();
+            release.extend(recorded.filter(|m| !self.fleet.confirmed.contains(m)));
+        }
+        release.retain(|m| !self.fleet.releasing.contains(m));
+        release.truncate(RELEASE_LIMIT);
+        if !release.is_empty() {
+            self.fleet.releasing.extend(&release);
+            self.fleet.released.extend(&release);
+            let request = CloudRequest::Release(release.clone());
+            self.ask_cloud(CloudPurpose::Release(release), request);
+        }
+    }
+
+    /// Records that machines are given up, before their release is sent: it may be carried out late, and
+    /// they may come up until then. No controller uses them.
+    fn give_up(&mut self, machines: Vec<(MachineId, Micros)>) {
+        if machines.is_empty() || self.fleet.writing {
+            return;
+        }
+        let mut record = self.fleet_record();
+        let most = self.limits.value_bytes() / 2 / 8;
+        for (m, age) in machines {
+            if record.releasing.len() < most {
+                tracing::info!(machine = %m, %age, "never came up, returning");
+                record.releasing.push(m);
+            }
+        }
+        self.write_fleet(record, Vec::new());
+    }
+
+    /// Whether the last list shows that a machine is gone. Lists may be older than the one before, so
+    /// one that was rented lately may be missing without being gone.
+    fn unlisted(&self, m: MachineId) -> bool {
+        let old = self.cfg.list_lag * 2 + Micros::secs(2);
+        self.fleet.lists > 0
+            && self.fleet.known.get(&m).is_none_or(|k| {
+                k.listed.is_none_or(|t| t < self.fleet.last_list) && self.now.steady.since(k.since) > old
+            })
+    }
+
+    /// Whether a task of a job, if it had to wait for the lease of a silent machine, would be late, but
+    /// not if it were started again at once. A release is proof at once that the machine is gone.
+    pub(super) fn pressed(&self, job: JobId) -> bool {
+        self.view.jobs.get(&job).is_some_and(|j| {
+            let latest = self.latest_start(j);
+            !j.cancelled()
+                && !self.rounds.is_suspect(job)
+                && latest >= self.now.day
+                && latest < self.now.day + self.cfg.lease
+        })
+    }
+}
--- /dev/null
+++ b/src/coordination/rounds/asks.rs
@@ -0,0 +1,207 @@
+//! What jobs ask of a plan, in their order, as far as limits let them.
+
+use super::{Precedence, Rounds};
+use crate::bookkeeping::admission::House;
+use crate::bookkeeping::ids::{JobId, Slice};
+use crate::bookkeeping::job::JobSpec;
+use crate::bookkeeping::placement::{Ask, Running};
+use crate::bookkeeping::records::{Fitness, MachineRecord};
+use crate::bookkeeping::time::Micros;
+use crate::bookkeeping::view::Job;
+use crate::coordination::Controller;
+use crate::coordination::draft::Draft;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Controller {
+    /// What the jobs ask for, as far as their teams' limits let them.
+    pub(super) fn asks<'a>(
+        &'a self,
+        jobs: Vec<(JobId, &'a Job)>,
+        draft: &Draft<'_>,
+        house: Option<&'a House<'a>>,
+    ) -> Vec<Ask<'a>> {
+        let mut asks: Vec<Ask<'a>> = Vec::new();
+        let mut wanted = 0;
+        let mut left: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+        let up = self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up);
+        let kinds: BTreeSet<(&str, &str, bool)> = up.map(|(_, _, r)| (&*r.build, &*r.yard, r.spot)).collect();
+        for (id, job) in jobs {
+            if wanted >= Self::CLAIMS {
+                break;
+            }
+            let spec = job.spec();
+            let k = self.view.job_slice(id, spec);
+            let mine = self.owns(k);
+            let team = self.cfg.team(&spec.crew);
+            let used = *left.entry(&spec.crew).or_insert_with(|| draft.used(k, &spec.crew));
+            let limit = |most: Option<u64>, used: u64, need: u64| match most {
+                Some(most) if need > 0 => most.saturating_sub(used) / need,
+                _ => u64::MAX,
+            };
+            let most = limit(team.and_then(|t| t.cores_limit), used.0, spec.need.cores).min(limit(
+                team.and_then(|t| t.accelerators_limit),
+                used.1,
+                spec.need.accelerators,
+            ));
+            if most == 0 {
+                continue;
+            }
+            let none_booked = self.view.booked(id).is_none();
+            if spec.gang && !none_booked && !self.in_parts(id) {
+                // What is left of a gang that lost a task ends by itself; then all are placed anew.
+                continue;
+            }
+            let fits = (spec.pieces as usize) <= Self::CLAIMS && !self.needs_parts(id, spec);
+            let whole = spec.together() && none_booked && fits;
+            let suspect = self.rounds.is_suspect(id);
+            if suspect && !spec.standing && !none_booked {
+                continue;
+            }
+            let cap = match (suspect && !spec.together(), whole) {
+                (true, _) => 1,
+                (_, true) => (Self::CLAIMS - wanted).max(spec.pieces as usize),
+                _ => Self::CLAIMS - wanted,
+            };
+            let tasks: Vec<u32> = self.view.pending(id, job).take(cap).collect();
+            if mine {
+                wanted += tasks.len();
+            }
+            let n = (tasks.len() as u64).min(most);
+            if let Some(u) = left.get_mut(spec.crew.as_str()) {
+                u.0 += n * spec.need.cores;
+                u.1 += n * spec.need.accelerators;
+            }
+            asks.push(Ask {
+                job: id,
+                spec,
+                urgency: job.urgency(),
+                tasks,
+                zones: if spec.one_zone || spec.apart { self.zones_of(id) } else { BTreeMap::new() },
+                most,
+                price_limit: if suspect { self.fair_price(spec) } else { self.price_limit_among(id, job, &kinds) },
+                owner: k,
+                mine,
+                preempts: self.preempts(job) && !suspect,
+                modest: suspect,
+                guaranteed: team.is_some_and(|t| t.has_share()) && !self.borrows(job, k),
+                whole,
+                avoid: &job.record.avoid,
+                rules: self.rules_for(id, job, house),
+            });
+        }
+        asks
+    }
+
+    /// Groups that one transaction can write beside a usage record.
+    fn groups_of_a_round(&self) -> usize {
+        self.limits.txn_ops() - 1
+    }
+
+    /// Whether there is room for all tasks of a set, but not on as many groups as one transaction can
+    /// write. Then it is booked in parts, round after round: a gang's tasks wait for each other.
+    fn needs_parts(&self, id: JobId, spec: &JobSpec) -> bool {
+        if !spec.together() {
+            return false;
+        }
+        let mut room: BTreeMap<_, u64> = BTreeMap::new();
+        for (_, m, r) in self.view.machines() {
+            if r.fitness == Fitness::Up && spec.allows(&r.build, &r.yard, r.spot) && self.may_use(id, m) {
+                *room.entry(self.view.home(m)).or_default() +=
+                    spec.need.times_in(&self.view.free(r), spec.pieces.into());
+            }
+        }
+        let mut room: Vec<u64> = room.into_values().collect();
+        room.sort_unstable_by_key(|n| Reverse(*n));
+        let most: u64 = room.iter().take(self.groups_of_a_round()).sum();
+        most < spec.pieces.into() && room.iter().sum::<u64>() >= spec.pieces.into()
+    }
+
+    /// Whether a set is booked on as many groups as one transaction can write: then it may be one that is
+    /// booked in parts.
+    fn in_parts(&self, id: JobId) -> bool {
+        let places = self.view.booked(id).into_iter().flat_map(|b| b.values());
+        let groups: BTreeSet<_> = places.filter_map(|p| self.view.home(p.machine)).collect();
+        groups.len() >= self.groups_of_a_round()
+    }
+
+    /// Tasks on a machine that may have to make room, the latest started last.
+    pub(super) fn running(&self, r: &MachineRecord, drafted: Option<&MachineRecord>) -> Vec<Running> {
+        let mut running: Vec<Running> = r
+            .tasks
+            .iter()
+            .filter(|b| !r.preempted.contains(b) && drafted.is_some_and(|d| d.tasks.contains(b)))
+            .filter_map(|b| {
+                let id = b.attempt().task.job;
+                let job = self.view.jobs.get(&id)?;
+                let k = self.view.job_slice(id, job.spec());
+                let team = self.cfg.team(&job.spec().crew);
+                let borrowed = team.is_some_and(|t| {
+                    let used = self.view.used(k, &job.spec().crew);
+                    used.0 > t.guarantee.0 + job.spec().need.cores
+                });
+                Some(Running { booking: *b, need: job.spec().need, urgency: job.urgency(), borrowed })
+            })
+            .collect();
+        // The more urgent are never reached; of the rest the latest have the least to lose.
+        running.sort_by_key(|r| (r.urgency, r.booking.2));
+        running
+    }
+
+    /// Whether a job may stop others: its class must start at once, or it is about to be late.
+    fn preempts(&self, job: &Job) -> bool {
+        let now = self.now.day;
+        let latest = self.latest_start(job);
+        self.starts_at_once(job.spec()) || latest < now + Micros::secs(5) && now < latest + job.spec().guess
+    }
+
+    /// Whether one more task of the job is beyond its team's guarantee.
+    fn borrows(&self, job: &Job, k: Slice) -> bool {
+        let spec = job.spec();
+        self.cfg.team(&spec.crew).is_some_and(|t| {
+            let used = self.view.used(k, &spec.crew);
+            // A team without a guarantee is always beyond it.
+            used.0 + spec.need.cores > t.guarantee.0
+                || spec.need.accelerators > 0 && used.1 + spec.need.accelerators > t.guarantee.1
+        })
+    }
+
+    fn zones_of(&self, id: JobId) -> BTreeMap<&str, u32> {
+        let mut zones = BTreeMap::new();
+        for p in self.view.booked(id).into_iter().flat_map(|b| b.values()) {
+            if let Some(r) = self.view.machine(p.machine) {
+                *zones.entry(&*r.yard).or_default() += 1;
+            }
+        }
+        zones
+    }
+
+    /// Whether a job's team has no slice yet, see [`Controller::unplaced`].
+    pub(in crate::coordination) fn unplaced_job(&self, job: &Job) -> bool {
+        self.cfg.team(&job.spec().crew).is_some_and(|t| self.unplaced(t))
+    }
+
+    /// All jobs with tasks to place, the most pressing first.
+    pub(super) fn jobs_in_order(&self) -> Vec<(JobId, &Job)> {
+        let mut jobs: Vec<(Precedence, JobId, &Job)> = Vec::new();
+        for (id, job) in &self.view.jobs {
+            let none = !job.ready() || self.view.pending_count(*id, job) == 0;
+            if none || self.backing_off(*id) || self.unplaced_job(job) || self.rules.bars(*id) {
+                continue;
+            }
+            let spec = job.spec();
+            let borrows = self.borrows(job, self.view.job_slice(*id, spec));
+            let suspect = self.rounds.is_suspect(*id);
+            let key = (suspect, borrows, job.urgency(), self.latest_start(job), job.record.submitted);
+            jobs.push((key, *id, job));
+        }
+        jobs.sort_by(|a, b| (&a.0, a.1).cmp(&(&b.0, b.1)));
+        jobs.into_iter().map(|(_, id, j)| (id, j)).collect()
+    }
+
+    /// A job that fails wherever it runs is tried ever more seldom, until its user ends it.
+    fn backing_off(&self, id: JobId) -> bool {
+        let now = self.now.steady;
+        self.rounds.suspects.get(&id).is_some_and(|s| now.since(s.at) < Rounds::pause(s.tries))
+    }
+}
