Tasks booked before a later limit was known are given back instead of launched

Cause: a deploy file that limits a team was known to all, and a machine's owner still launched what controllers with the earlier file had booked.

Change: while more is booked for a team than it may have, what has not begun of it is not launched but given back, as what rules forbid is.

--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -9,6 +9,7 @@
 use crate::bookkeeping::records::{Booking, Fitness, MachineRecord};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Job, View};
+use crate::protocol::settings::Settings;
 use crate::protocol::worker::{Ended, Order, Report, ReportAnswer, TaskState, direct_body};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -126,6 +127,18 @@
     }
 }
 
+/// Whether more is booked for a job's team than it may have. Nobody books that who knows the limit, so it was booked
+/// before a later deploy file brought it: what has not begun of it is not launched any more, but given back.
+fn beyond_limit(view: &View, cfg: &Settings, job: JobId) -> bool {
+    let Some(spec) = view.jobs.get(&job).map(Job::spec) else { return false };
+    let Some(team) = cfg.team(&spec.crew) else { return false };
+    if team.cores_limit.is_none() && team.accelerators_limit.is_none() {
+        return false;
+    }
+    let used = view.used(view.job_slice(job, spec), &spec.crew);
+    team.cores_limit.is_some_and(|most| used.0 > most) || team.accelerators_limit.is_some_and(|most| used.1 > most)
+}
+
 /// The time that a task of this job is given to save when it is stopped.
 fn leeway(job: Option<&Job>) -> Micros {
     let spec = job.map(Job::spec);
@@ -373,10 +386,12 @@
             }
             let job = self.view.jobs.get(&a.task.job);
             let forbidden = record.is_some_and(|r| self.rules.forbid_launch(&self.view, machine, r, a.task.job));
+            let beyond = beyond_limit(&self.view, &self.cfg, a.task.job);
             let unwanted = job.is_none_or(Job::cancelled)
                 || fitness != Fitness::Up
                 || s.recall_at.is_some()
                 || preempted.contains(b)
+                || beyond
                 || forbidden;
             if !unwanted && !s.has_room(&self.view, record, &a) {
                 continue;
@@ -393,8 +408,12 @@
                 // Any earlier launch answered an earlier report, and that answer has been taken or
                 // given up by now; only a direct one can still come.
                 if s.settled(&a) {
-                    if self.rounds.clear(machine, a, Outcome::Again, now) && forbidden {
-                        log_forbidden(a.task, machine);
+                    if self.rounds.clear(machine, a, Outcome::Again, now) {
+                        if forbidden {
+                            log_forbidden(a.task, machine);
+                        } else if beyond {
+                            tracing::info!(task = %a, machine = %machine, "given back: its team is beyond its limit");
+                        }
                     }
                 } else {
                     self.ownership.raise_later(k, s.unsettled_since, now);
@@ -505,6 +524,7 @@
                     && record.fitness == Fitness::Up
                     && s.recall_at.is_none()
                     && !self.rounds.clearing(m, a)
+                    && !beyond_limit(&self.view, &self.cfg, a.task.job)
                     && !self.rules.forbid_launch(&self.view, m, record, a.task.job)
                     && s.launched.insert(a)
                 {
