A read goes before a round only once the budget allows the round

Cause: the read was asked for before the budget was, so a round that had to wait for changes read once in vain and once more when its turn came.

Change: the budget is asked first; nothing else moves.

--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -250,9 +250,6 @@
             self.wake_at(patient);
             return;
         }
-        if !self.read_before_round() {
-            return;
-        }
         self.refresh_bars();
         // A large round of what has time must not hold up what must start at once: that may overdraw.
         let lean_only = match self.budget.round(now) {
@@ -263,6 +260,9 @@
                 return;
             }
         };
+        if !self.read_before_round() {
+            return;
+        }
         let ops = self.limits.txn_ops();
         let limits = Limits {
             ops,
