Tidying: one state of the watch, the way to the broker apart, benchmarks share a catalogue

Need: a last read found state kept twice (whether a watch is under way, and since when), broker and relay of the queues importing each other, the same machine types in two benchmarks, a check written out twice in covers(), and a name used for two things in one function.

Change: each is there once. No behaviour changes, no test is touched.

--- a/benches/rules.rs
+++ b/benches/rules.rs
@@ -1,18 +1,20 @@
 //! What rules cost a plan: 2,000 machines and 500 waiting jobs, a fifth of them with rules, against the same
 //! jobs without any. Run with `cargo bench --bench rules`; not part of the tests.
 
+mod common;
+
 use cometlead::bookkeeping::admission::{Admission, ClassTraits, House, traits};
 use cometlead::bookkeeping::amount::Amount;
-use cometlead::bookkeeping::catalog::{Catalog, MachineType};
+use cometlead::bookkeeping::catalog::Catalog;
 use cometlead::bookkeeping::classes::{Class, Classes};
 use cometlead::bookkeeping::finished::Finished;
 use cometlead::bookkeeping::ids::{JobId, MachineId};
 use cometlead::bookkeeping::job::{JobRecord, JobSpec};
 use cometlead::bookkeeping::pipeline::Stage;
 use cometlead::bookkeeping::placement::{Ask, Groups, Rules, Slot, plan};
-use cometlead::bookkeeping::time::Micros;
 use cometlead::bookkeeping::view::Job;
 use cometlead_constraints::RuleSet;
+use common::{CLAIMS, catalog};
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use std::collections::{BTreeMap, HashMap};
 use std::hint::black_box;
@@ -20,8 +22,6 @@
 
 const MACHINES: u64 = 2_000;
 const JOBS: u64 = 500;
-/// Most claims of a plan, as a controller's rounds have it.
-const CLAIMS: usize = 256;
 
 const RULES: &[u8] = br#"{"labels": {"types": {"large": {"fonts": ["latin", "oromo"]}, "small": {"fonts": ["latin"]}},
     "zones": {"b": {"near": ["print"]}}}, "rules": [
@@ -64,17 +64,7 @@
 
 impl Cluster {
     fn new(beside: bool) -> Cluster {
-        let kind = |name: &str, cores: u64| MachineType {
-            name: name.to_owned(),
-            room: Amount { cores: cores * 1_000, accelerators: 0, memory: cores * 4_000 },
-            cache: 50_000,
-            fetch: 1_000,
-            price: cores * 100,
-            spot_price: cores * 40,
-            boot: Micros::secs(30),
-            zones: vec!["a".to_owned(), "b".to_owned()],
-        };
-        let catalog = Catalog { types: vec![kind("small", 8), kind("large", 32)] };
+        let catalog = catalog();
         let mut classes = Classes::default();
         classes.offer(&catalog);
         for m in 0..MACHINES {
--- a/benches/scale.rs
+++ b/benches/scale.rs
@@ -1,15 +1,16 @@
 //! How the work of a controller grows with machines and with waiting jobs: a plan, a batch of the watch, and reading
 //! everything at a start. Run with `cargo bench --bench scale`; not part of the tests.
 
+mod common;
+
 use cometlead::bookkeeping::amount::Amount;
-use cometlead::bookkeeping::catalog::{Catalog, MachineType};
 use cometlead::bookkeeping::ids::{Attempt, JobId, MachineId, TaskId};
 use cometlead::bookkeeping::job::JobRecord;
 use cometlead::bookkeeping::placement::{Ask, Groups, Slot, plan};
 use cometlead::bookkeeping::records::{Booking, Fitness, GroupRecord, Key, LAYOUT, MachineRecord, MetaRecord};
-use cometlead::bookkeeping::time::Micros;
 use cometlead::bookkeeping::view::{Change, Content, Touched, View};
 use cometlead::protocol::state::{decode, encode};
+use common::{CLAIMS, catalog};
 use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
 use serde_json::value::RawValue;
 use std::collections::BTreeMap;
@@ -23,22 +24,6 @@
 const TASKS: u64 = 4;
 /// Tasks of a job.
 const PIECES: u64 = 40;
-/// Most claims of a plan, as a controller's rounds have it.
-const CLAIMS: usize = 256;
-
-fn catalog() -> Catalog {
-    let kind = |name: &str, cores: u64| MachineType {
-        name: name.to_owned(),
-        room: Amount { cores: cores * 1_000, accelerators: 0, memory: cores * 4_000 },
-        cache: 50_000,
-        fetch: 1_000,
-        price: cores * 100,
-        spot_price: cores * 40,
-        boot: Micros::secs(30),
-        zones: vec!["a".to_owned(), "b".to_owned()],
-    };
-    Catalog { types: vec![kind("small", 8), kind("large", 32)] }
-}
 
 fn job(i: u64) -> JobRecord {
     let text = format!(
--- a/crates/queues/src/shell/broker.rs
+++ b/crates/queues/src/shell/broker.rs
@@ -3,8 +3,10 @@
 //! Messages, acknowledgements, answers and receipts share one channel, since a transaction is a channel's; the
 //! receipts of other connections are read on channels of their own, which the broker closes when it refuses.
 
+use super::Told;
 use super::receipts::{Own, decode, encode, queue_of};
-use super::{Told, relay};
+use super::relay::{self, UNREADABLE};
+use super::target::Target;
 use crate::answer::{Answer, DeadLetter, Notice, Outcome, Post, Progress};
 use crate::front::{Commit, Event, Receipts, Tag};
 use crate::mark::Holder;
@@ -27,22 +29,14 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
-use tokio_rustls::TlsConnector;
-use tokio_rustls::rustls::pki_types::pem::PemObject;
-use tokio_rustls::rustls::pki_types::{CertificateDer, ServerName};
-use tokio_rustls::rustls::{ClientConfig, RootCertStore};
 
 /// How long the broker may take to answer anything.
 const PATIENCE: Duration = Duration::from_secs(15);
 /// Time between two attempts to connect, at first and at most.
 const AGAIN: Duration = Duration::from_millis(250);
 const MOST_AGAIN: Duration = Duration::from_secs(5);
-/// Said by the relay in the place of headers that cannot be read.
-pub const UNREADABLE: &str = "cometlead-unreadable";
 /// The broker's code for what is not there.
 const NOT_FOUND: u16 = 404;
 
@@ -74,29 +68,6 @@
     GivenUp,
 }
 
-/// Where the broker is, and what it has to prove.
-#[derive(Clone)]
-pub struct Target {
-    host: String,
-    port: u16,
-    tls: Option<(TlsConnector, String)>,
-}
-
-/// A connection to the broker.
-pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
-impl<S: AsyncRead + AsyncWrite + Send + Unpin> Stream for S {}
-
-impl Target {
-    /// Connects, as `amqprs` does by itself where it is not told of another way.
-    pub async fn connect(&self) -> io::Result<Box<dyn Stream>> {
-        let stream = TcpStream::connect((self.host.as_str(), self.port)).await?;
-        stream.set_nodelay(true)?;
-        let Some((connector, name)) = &self.tls else { return Ok(Box::new(stream)) };
-        let name = ServerName::try_from(name.clone()).map_err(io::Error::other)?;
-        Ok(Box::new(connector.connect(name, stream).await?))
-    }
-}
-
 /// How the broker is reached.
 pub struct Broker {
     settings: Arc<QueueSettings>,
@@ -110,26 +81,9 @@
     }
 }
 
-fn tls(settings: &QueueSettings, base: &Path) -> Result<Option<(TlsConnector, String)>, BadSettings> {
-    let Some(tls) = &settings.broker.tls else { return Ok(None) };
-    let path = base.join(&tls.roots);
-    let bad = |what: String| BadSettings::File("broker.tls.roots", format!("{}: {what}", path.display()));
-    let mut roots = RootCertStore::empty();
-    for certificate in CertificateDer::pem_file_iter(&path).map_err(|e| bad(e.to_string()))? {
-        roots.add(certificate.map_err(|e| bad(e.to_string()))?).map_err(|e| bad(e.to_string()))?;
-    }
-    if roots.is_empty() {
-        return Err(bad("no certificate".to_owned()));
-    }
-    let config = ClientConfig::builder().with_root_certificates(roots).with_no_client_auth();
-    let name = tls.name.clone().unwrap_or_else(|| settings.broker.host.clone());
-    Ok(Some((TlsConnector::from(Arc::new(config)), name)))
-}
-
 impl Broker {
     pub fn new(settings: Arc<QueueSettings>, credentials: Credentials, base: &Path) -> Result<Broker, BadSettings> {
-        let b = &settings.broker;
-        let target = Target { host: b.host.clone(), port: b.port, tls: tls(&settings, base)? };
+        let target = Target::new(&settings, base)?;
         Ok(Broker { settings, credentials, target })
     }
 
--- a/crates/queues/src/shell/mod.rs
+++ b/crates/queues/src/shell/mod.rs
@@ -9,6 +9,7 @@
 mod metrics;
 mod receipts;
 mod relay;
+mod target;
 
 use crate::front::{Effect, Event, Front, Micros};
 use crate::settings::{BadSettings, Credentials, QueueSettings};
--- a/crates/queues/src/shell/relay.rs
+++ b/crates/queues/src/shell/relay.rs
@@ -6,7 +6,7 @@
 //! process. Such a header is replaced by one that tells where to answer and that the rest could not be read; everything
 //! else passes as it is.
 
-use super::broker::{Target, UNREADABLE};
+use super::target::Target;
 use amq_protocol::protocol::basic;
 use amqp_serde::{from_bytes, to_bytes};
 use amqprs::{BasicProperties, FieldTable, FieldValue};
@@ -19,6 +19,8 @@
 use tokio::task::JoinHandle;
 use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
 
+/// A header that stands in the place of those that cannot be read.
+pub const UNREADABLE: &str = "cometlead-unreadable";
 /// Kind, channel and length before a frame's payload, and the byte behind it.
 const HEAD: usize = 7;
 const END: usize = 1;
--- a/src/coordination/draft.rs
+++ b/src/coordination/draft.rs
@@ -12,7 +12,7 @@
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Part, Slice};
 use crate::bookkeeping::job::{FinalRecord, JobRecord};
 use crate::bookkeeping::records::{GroupRecord, Key, MachineRecord, OwnRecord, UsageRecord};
-use crate::bookkeeping::view::{Change, Content, View};
+use crate::bookkeeping::view::{Change, Content, Job, View};
 use crate::protocol::state::{Put, Txn, encode};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -185,12 +185,10 @@
 
     /// Whether clearing this booking writes only records that it writes already, or that nobody else writes.
     pub fn covers(&self, m: MachineId, a: Attempt) -> bool {
-        if self.fenced {
-            return self.home(m).is_some_and(|at| self.writes_group(at));
-        }
-        let Some(job) = self.view.jobs.get(&a.task.job) else { return false };
-        let k = self.view.job_slice(a.task.job, job.spec());
-        self.home(m).is_some_and(|at| self.writes_group(at)) && self.writes_usage(k)
+        let id = a.task.job;
+        let writes_usage = |job: &Job| self.writes_usage(self.view.job_slice(id, job.spec()));
+        self.home(m).is_some_and(|at| self.writes_group(at))
+            && (self.fenced || self.view.jobs.get(&id).is_some_and(writes_usage))
     }
 
     /// Makes sure that the records can be edited within the limits; changes nothing otherwise.
--- a/src/coordination/draft/ends.rs
+++ b/src/coordination/draft/ends.rs
@@ -69,7 +69,7 @@
     }
 
     /// A team has less booked.
-    pub(super) fn take(&mut self, k: Slice, spec: &'a JobSpec) {
+    fn take(&mut self, k: Slice, spec: &'a JobSpec) {
         if let Some(u) = self.usage.get_mut(&k).filter(|_| !self.fenced) {
             u.record.take(&spec.crew, spec.need.cores, spec.need.accelerators);
         }
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -10,9 +10,9 @@
 pub struct Reader {
     phase: Phase,
     contact: Micros,
-    watching: bool,
-    /// When the watch under way was sent, and when a read was last answered.
-    watching_since: Option<Micros>,
+    /// When the watch under way was sent.
+    watching: Option<Micros>,
+    /// When a read was last answered.
     answered: Micros,
     next_watch: Micros,
     barrier: Option<CallId>,
@@ -65,7 +65,7 @@
     /// since it was sent, or a read was answered just now.
     pub fn is_fresh(&self, now: Micros) -> bool {
         const JUST_NOW: Micros = Micros::millis(8);
-        self.watching_since.is_some_and(|t| now.since(t) >= JUST_NOW) || now.since(self.answered) < JUST_NOW
+        self.watching.is_some_and(|t| now.since(t) >= JUST_NOW) || now.since(self.answered) < JUST_NOW
     }
 
     /// Whether a read that began after this call has completed.
@@ -108,7 +108,7 @@
 
     fn pump_watch(&mut self) {
         let now = self.now.steady;
-        if self.reader.watching {
+        if self.reader.watching.is_some() {
             return;
         }
         if now < self.reader.next_watch {
@@ -121,8 +121,7 @@
         }
         let wait = if self.reader.ready() { Self::WATCH_WAIT } else { Micros::ZERO };
         let after = self.view.epoch;
-        self.reader.watching = true;
-        self.reader.watching_since = Some(now);
+        self.reader.watching = Some(now);
         self.ask_state(Purpose::Watch, StateRequest::Changes { after, wait });
     }
 
@@ -196,8 +195,7 @@
     pub(super) fn on_changes(&mut self, id: CallId, sent: Micros, watch: bool, result: Result<StateReply, CallError>) {
         let now = self.now.steady;
         if watch {
-            self.reader.watching = false;
-            self.reader.watching_since = None;
+            self.reader.watching = None;
             self.reader.next_watch = now + Self::WATCH_SPACING;
         } else if self.reader.barrier == Some(id) {
             self.reader.barrier = None;
--- a/src/coordination/rounds/drafting.rs
+++ b/src/coordination/rounds/drafting.rs
@@ -90,7 +90,7 @@
                 cleared += 1;
             }
         }
-        let full = draft.ops_left() == 0;
+        let filled = draft.ops_left() == 0;
         for (m, mark) in &self.rounds.marks {
             draft.mark(*m, *mark, view.machine_slice(*m));
         }
@@ -135,7 +135,7 @@
             booked = self.book(&mut draft, false);
         }
         let drafted = (!draft.is_empty()).then(|| Drafted { commit: draft.commit(), booked, cleared });
-        self.rounds.books_first = full && drafted.as_ref().is_some_and(|d| d.booked.is_empty());
+        self.rounds.books_first = filled && drafted.as_ref().is_some_and(|d| d.booked.is_empty());
         drafted
     }
 
