--- a/crates/queues/src/message.rs
+++ b/crates/queues/src/message.rs
@@ -1,15 +1,19 @@
 //! Messages, and what they ask for.
 
+use crate::front::Micros;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::fmt;
+use std::str::FromStr;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
 
 /// Largest body, in bytes: as much as the users' interface takes.
 pub const BODY_LIMIT: usize = 64 * 1024;
+/// Longest guess of a run time that is made use of.
+const MOST_GUESS_S: f64 = 86_400.0;
 
 /// A message as the broker delivers it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Message {
     /// The queue that it came through.
     pub queue: String,
@@ -21,8 +25,16 @@
     pub correlation: Option<String>,
     /// The header `urgency`.
     pub urgency: Option<String>,
+    /// The header `due_s`, in seconds from the submission.
+    pub due_s: Option<f64>,
+    /// The header `awaits`: ids of jobs, divided by commas.
+    pub awaits: Option<String>,
     /// The header `cancel`: the job is to be cancelled.
     pub cancel: bool,
+    /// The header `interim`: the client wants to be told that its job is accepted or has to wait.
+    pub interim: bool,
+    /// The broker has delivered it before, or says so.
+    pub redelivered: bool,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -37,11 +49,26 @@
     }
 }
 
+impl FromStr for Key {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Key, Self::Err> {
+        u128::from_str_radix(text, 16).map(Key)
+    }
+}
+
 /// What a message asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Wish {
-    /// To submit this job with this body.
-    Submit(String, Vec<u8>),
+    /// To submit a job.
+    Submit {
+        /// The job's id.
+        job: String,
+        /// The body that is submitted.
+        body: Vec<u8>,
+        /// How long its tasks run, as its owner guesses.
+        guess: Micros,
+    },
     /// To cancel this job.
     Cancel(String),
     /// Nothing that could be carried out, and why.
@@ -76,20 +103,33 @@
         let Ok(Value::Object(mut fields)) = serde_json::from_slice::<Value>(&self.body) else {
             return Wish::Refuse("the body is not a JSON object");
         };
-        let name = match fields.get("nameId") {
+        let job = match fields.get("nameId") {
             None | Some(Value::Null) if self.cancel => return Wish::Refuse("nameId: missing"),
             None | Some(Value::Null) => self.job(),
             Some(Value::String(name)) if is_name(name) => name.clone(),
             Some(_) => return Wish::Refuse("nameId: invalid"),
         };
         if self.cancel {
-            return Wish::Cancel(name);
+            return Wish::Cancel(job);
         }
-        fields.insert("nameId".to_owned(), Value::String(name.clone()));
+        if self.due_s.is_some_and(|s| !s.is_finite() || s < 0.0) {
+            return Wish::Refuse("due_s: invalid");
+        }
+        let mut set = |field: &str, value: Value| fields.insert(field.to_owned(), value);
+        set("nameId", json!(job));
         if let Some(urgency) = &self.urgency {
-            fields.insert("urgency".to_owned(), Value::String(urgency.clone()));
+            set("urgency", json!(urgency));
+        }
+        if let Some(due) = self.due_s {
+            set("dueS", json!(due));
+        }
+        if let Some(awaits) = &self.awaits {
+            let ids: Vec<&str> = awaits.split(',').map(str::trim).filter(|id| !id.is_empty()).collect();
+            set("awaits", json!(ids));
         }
-        Wish::Submit(name, Value::Object(fields).to_string().into_bytes())
+        let guess = fields.get("guessS").and_then(Value::as_f64).unwrap_or_default().clamp(0.0, MOST_GUESS_S);
+        let body = Value::Object(fields).to_string().into_bytes();
+        Wish::Submit { job, body, guess: (guess * 1e6) as Micros }
     }
 
     /// A name of the users' form that follows from the message: eighteen digits, the first of which is not 0.
--- /dev/null
+++ b/crates/queues/src/shell/broker.rs
@@ -0,0 +1,540 @@
+//! The connection to the broker: AMQP 0-9-1 by `amqprs`.
+//!
+//! Messages, acknowledgements, answers and receipts share one channel, since a transaction is a channel's; the
+//! receipts of other connections are read on channels of their own, which the broker closes when it refuses.
+
+use super::Told;
+use super::receipts::{Own, decode, encode, queue_of};
+use crate::answer::{Answer, DeadLetter, Notice, Outcome, Post, Progress};
+use crate::front::{Commit, Event, Receipts, Tag};
+use crate::mark::Holder;
+use crate::message::{BODY_LIMIT, Key, Message};
+use crate::settings::{BadSettings, Credentials, QueueSettings, beside};
+use amqprs::callbacks::{ChannelCallback, ConnectionCallback};
+use amqprs::channel::{
+    BasicAckArguments, BasicConsumeArguments, BasicPublishArguments, BasicQosArguments, Channel, ConsumerMessage,
+    QueueDeclareArguments, QueueDeleteArguments,
+};
+use amqprs::connection::{Connection, OpenConnectionArguments};
+use amqprs::error::Error;
+use amqprs::tls::TlsAdaptor;
+use amqprs::{Ack, BasicProperties, Cancel, Close, CloseChannel, FieldTable, FieldValue, Nack, Return};
+use async_trait::async_trait;
+use parking_lot::Mutex;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc};
+use tokio_rustls::TlsConnector;
+use tokio_rustls::rustls::pki_types::CertificateDer;
+use tokio_rustls::rustls::pki_types::pem::PemObject;
+use tokio_rustls::rustls::{ClientConfig, RootCertStore};
+
+/// How long the broker may take to answer anything.
+const PATIENCE: Duration = Duration::from_secs(15);
+/// Time between two attempts to connect, at first and at most.
+const AGAIN: Duration = Duration::from_millis(250);
+const MOST_AGAIN: Duration = Duration::from_secs(5);
+/// The broker's code for what is not there.
+const NOT_FOUND: u16 = 404;
+
+/// What the front wants of the connection.
+#[derive(Debug)]
+pub enum Order {
+    Open(Holder),
+    Consume,
+    Drop,
+    Commit(Commit),
+    Read(Holder),
+    Clear(Holder, bool),
+}
+
+/// Why a connection ended.
+#[derive(Debug, thiserror::Error)]
+enum End {
+    #[error("{0}")]
+    Amqp(#[from] Error),
+    #[error("no answer in time")]
+    Silent,
+    #[error("closed by the broker: {0}")]
+    Closed(String),
+    #[error("given up")]
+    GivenUp,
+}
+
+/// How the broker is reached.
+pub struct Broker {
+    settings: Arc<QueueSettings>,
+    args: OpenConnectionArguments,
+}
+
+impl std::fmt::Debug for Broker {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Broker")
+    }
+}
+
+fn tls(settings: &QueueSettings, base: &Path) -> Result<Option<TlsAdaptor>, BadSettings> {
+    let Some(tls) = &settings.broker.tls else { return Ok(None) };
+    let path = beside(base, &tls.roots);
+    let bad = |what: String| BadSettings::File("broker.tls.roots", format!("{}: {what}", path.display()));
+    let mut roots = RootCertStore::empty();
+    for certificate in CertificateDer::pem_file_iter(&path).map_err(|e| bad(e.to_string()))? {
+        roots.add(certificate.map_err(|e| bad(e.to_string()))?).map_err(|e| bad(e.to_string()))?;
+    }
+    if roots.is_empty() {
+        return Err(bad("no certificate".to_owned()));
+    }
+    let config = ClientConfig::builder().with_root_certificates(roots).with_no_client_auth();
+    let name = tls.name.clone().unwrap_or_else(|| settings.broker.host.clone());
+    Ok(Some(TlsAdaptor::new(TlsConnector::from(Arc::new(config)), name)))
+}
+
+impl Broker {
+    pub fn new(settings: Arc<QueueSettings>, credentials: Credentials, base: &Path) -> Result<Broker, BadSettings> {
+        let b = &settings.broker;
+        let mut args = OpenConnectionArguments::new(&b.host, b.port, &credentials.user, &credentials.password);
+        args.virtual_host(&b.vhost).heartbeat(b.heartbeat_s).connection_name("cometlead queues");
+        if let Some(adaptor) = tls(&settings, base)? {
+            args.tls_adaptor(adaptor);
+        }
+        Ok(Broker { settings, args })
+    }
+
+    /// One connection after the other, until nobody wants one any more.
+    pub async fn keep_connected(
+        self,
+        mut orders: mpsc::UnboundedReceiver<(u64, Order)>,
+        events: mpsc::UnboundedSender<Told>,
+    ) {
+        let mut pause = AGAIN;
+        for epoch in 1.. {
+            let opened = tokio::time::timeout(PATIENCE, Connection::open(&self.args));
+            let opened = tokio::select! {
+                opened = opened => opened,
+                // The shell has ended.
+                () = gone(&mut orders) => return,
+            };
+            match opened.map_err(|_| End::Silent).and_then(|o| o.map_err(End::from)) {
+                Ok(connection) => {
+                    pause = AGAIN;
+                    let end = Link::run(&self.settings, connection.clone(), epoch, &mut orders, &events).await;
+                    let Err(end) = end else {
+                        let _ = tokio::time::timeout(Duration::from_secs(2), connection.close()).await;
+                        return;
+                    };
+                    tracing::error!(error = %end, link = epoch, "the connection to the broker is gone");
+                    if events.send((Some(epoch), Event::Down)).is_err() {
+                        return;
+                    }
+                    let _ = tokio::time::timeout(Duration::from_secs(1), connection.close()).await;
+                }
+                Err(error) => tracing::error!(%error, "cannot connect to the broker"),
+            }
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = gone(&mut orders) => return,
+            }
+            pause = (pause * 2).min(MOST_AGAIN);
+        }
+    }
+}
+
+/// Waits for the end of those who give orders; what is ordered without a connection is for none.
+async fn gone(orders: &mut mpsc::UnboundedReceiver<(u64, Order)>) {
+    while orders.recv().await.is_some() {}
+}
+
+/// What the broker says unasked.
+#[derive(Clone, Debug, Default)]
+struct Watch {
+    closed: Arc<Mutex<Option<(u16, String)>>>,
+    notify: Arc<Notify>,
+}
+
+impl Watch {
+    fn close(&self, code: u16, text: &str) {
+        *self.closed.lock() = Some((code, text.to_owned()));
+        self.notify.notify_one();
+    }
+
+    fn code(&self) -> Option<u16> {
+        self.closed.lock().as_ref().map(|(code, _)| *code)
+    }
+
+    fn end(&self) -> End {
+        let closed = self.closed.lock().clone();
+        End::Closed(closed.map_or_else(|| "no reason given".to_owned(), |(code, text)| format!("{code} {text}")))
+    }
+}
+
+#[async_trait]
+impl ConnectionCallback for Watch {
+    async fn close(&mut self, _: &Connection, close: Close) -> Result<(), Error> {
+        Watch::close(self, close.reply_code(), close.reply_text());
+        Ok(())
+    }
+
+    async fn blocked(&mut self, _: &Connection, reason: String) {
+        tracing::error!(reason, "the broker is short of memory or disk, and takes no answers for now");
+    }
+
+    async fn unblocked(&mut self, _: &Connection) {
+        tracing::info!("the broker takes answers again");
+    }
+
+    async fn secret_updated(&mut self, _: &Connection) {}
+}
+
+#[async_trait]
+impl ChannelCallback for Watch {
+    async fn close(&mut self, _: &Channel, close: CloseChannel) -> Result<(), Error> {
+        Watch::close(self, close.reply_code(), close.reply_text());
+        Ok(())
+    }
+
+    // A queue that is gone ends the connection: the next one finds out what is there.
+    async fn cancel(&mut self, _: &Channel, _: Cancel) -> Result<(), Error> {
+        Watch::close(self, NOT_FOUND, "a consumer was cancelled by the broker");
+        Ok(())
+    }
+
+    async fn flow(&mut self, _: &Channel, active: bool) -> Result<bool, Error> {
+        Ok(active)
+    }
+
+    async fn publish_ack(&mut self, _: &Channel, _: Ack) {}
+
+    async fn publish_nack(&mut self, _: &Channel, _: Nack) {}
+
+    async fn publish_return(&mut self, _: &Channel, _: Return, _: BasicProperties, _: Vec<u8>) {}
+}
+
+async fn patiently<T>(call: impl Future<Output = Result<T, Error>>) -> Result<T, End> {
+    Ok(tokio::time::timeout(PATIENCE, call).await.map_err(|_| End::Silent)??)
+}
+
+struct Link<'a> {
+    settings: &'a QueueSettings,
+    connection: Connection,
+    channel: Channel,
+    epoch: u64,
+    events: mpsc::UnboundedSender<Told>,
+    holder: Option<Holder>,
+    own: Arc<Mutex<Own>>,
+    /// Channels that read the receipts of others, or are about to.
+    inquiries: Arc<Mutex<BTreeMap<Holder, Channel>>>,
+}
+
+impl Link<'_> {
+    /// Serves one connection. `Ok` when nobody wants it any more.
+    async fn run(
+        settings: &QueueSettings,
+        connection: Connection,
+        epoch: u64,
+        orders: &mut mpsc::UnboundedReceiver<(u64, Order)>,
+        events: &mpsc::UnboundedSender<Told>,
+    ) -> Result<(), End> {
+        let watch = Watch::default();
+        patiently(connection.register_callback(watch.clone())).await?;
+        let channel = patiently(connection.open_channel(None)).await?;
+        patiently(channel.register_callback(watch.clone())).await?;
+        patiently(channel.tx_select()).await?;
+        let mut link = Link {
+            settings,
+            connection: connection.clone(),
+            channel,
+            epoch,
+            events: events.clone(),
+            holder: None,
+            own: Arc::default(),
+            inquiries: Arc::default(),
+        };
+        link.tell(Event::Up(epoch));
+        loop {
+            let order = tokio::select! {
+                order = orders.recv() => order,
+                () = watch.notify.notified() => return Err(watch.end()),
+                _ = connection.listen_network_io_failure() => return Err(End::Closed("connection lost".to_owned())),
+            };
+            match order {
+                None => return Ok(()),
+                Some((of, order)) if of == epoch => link.carry_out(order).await?,
+                Some(_) => {}
+            }
+            if !link.channel.is_open() {
+                return Err(watch.end());
+            }
+        }
+    }
+
+    fn tell(&self, event: Event) {
+        // Nobody is left to be told at the end.
+        let _ = self.events.send((Some(self.epoch), event));
+    }
+
+    async fn carry_out(&mut self, order: Order) -> Result<(), End> {
+        match order {
+            Order::Open(holder) => self.open(holder).await?,
+            Order::Consume => self.consume().await?,
+            Order::Drop => return Err(End::GivenUp),
+            Order::Commit(commit) => {
+                self.commit(commit).await?;
+                self.tell(Event::Committed);
+            }
+            Order::Read(holder) => self.inquire(holder),
+            Order::Clear(holder, delete) => self.clear(holder, delete),
+        }
+        Ok(())
+    }
+
+    async fn consume_from(&self, queue: &str, prefetch: u16, exclusive: bool) -> Result<Consumer, End> {
+        patiently(self.channel.basic_qos(BasicQosArguments::new(0, prefetch, false))).await?;
+        let args = BasicConsumeArguments::new(queue, queue).manual_ack(true).exclusive(exclusive).finish();
+        Ok(patiently(self.channel.basic_consume_rx(args)).await?.1)
+    }
+
+    async fn open(&mut self, holder: Holder) -> Result<(), End> {
+        let queue = queue_of(holder);
+        patiently(self.channel.queue_declare(QueueDeclareArguments::durable_client_named(&queue))).await?;
+        let mut receipts = self.consume_from(&queue, 0, true).await?;
+        self.holder = Some(holder);
+        let own = Arc::clone(&self.own);
+        tokio::spawn(async move {
+            while let Some(m) = receipts.recv().await {
+                if let (Some(d), Some(body)) = (&m.deliver, &m.content) {
+                    own.lock().add(d.delivery_tag(), decode(body));
+                }
+            }
+        });
+        self.tell(Event::Opened(true));
+        Ok(())
+    }
+
+    async fn consume(&mut self) -> Result<(), End> {
+        for queue in &self.settings.queues {
+            let mut messages = self.consume_from(&queue.name, queue.prefetch, false).await?;
+            let (events, epoch, name) = (self.events.clone(), self.epoch, queue.name.clone());
+            tokio::spawn(async move {
+                while let Some(m) = messages.recv().await {
+                    if let Some((tag, message)) = read(&name, m)
+                        && events.send((Some(epoch), Event::Delivered(tag, message))).is_err()
+                    {
+                        return;
+                    }
+                }
+            });
+        }
+        Ok(())
+    }
+
+    async fn publish(&self, to: &str, properties: BasicProperties, body: Vec<u8>) -> Result<(), End> {
+        patiently(self.channel.basic_publish(properties, body, BasicPublishArguments::new("", to))).await
+    }
+
+    async fn commit(&mut self, commit: Commit) -> Result<(), End> {
+        let keys: Vec<Key> = commit.posts.iter().map(Post::of).collect();
+        let gone = self.own.lock().forget(&commit.forget);
+        for tag in commit.acks.into_iter().chain(gone) {
+            patiently(self.channel.basic_ack(BasicAckArguments::new(tag, false))).await?;
+        }
+        for notice in &commit.notices {
+            self.publish(&notice.to, properties(notice.of, notice.correlation.as_deref()), interim(notice)).await?;
+        }
+        for post in &commit.posts {
+            match post {
+                Post::Answer(a) => self.publish(&a.to, properties(a.of, a.correlation.as_deref()), last(a)).await?,
+                Post::Dead(d) => self.publish(&d.to, dead(d), d.body.clone()).await?,
+            }
+        }
+        if let Some(holder) = self.holder.filter(|_| !keys.is_empty()) {
+            let mut properties = BasicProperties::default();
+            properties.with_persistence(true);
+            self.publish(&queue_of(holder), properties, encode(&keys)).await?;
+        }
+        patiently(self.channel.tx_commit()).await
+    }
+
+    /// Reads another connection's receipts, beside what else goes on.
+    fn inquire(&self, holder: Holder) {
+        let (connection, inquiries) = (self.connection.clone(), Arc::clone(&self.inquiries));
+        let (events, epoch) = (self.events.clone(), self.epoch);
+        tokio::spawn(async move {
+            let told = match inquire(&connection, holder, epoch).await {
+                Ok((receipts, channel)) => {
+                    inquiries.lock().insert(holder, channel);
+                    receipts
+                }
+                Err(receipts) => receipts,
+            };
+            let _ = events.send((Some(epoch), Event::Receipts(holder, told)));
+        });
+    }
+
+    /// Leaves another connection's receipts, and removes their queue if that is due.
+    fn clear(&self, holder: Holder, delete: bool) {
+        let (connection, channel) = (self.connection.clone(), self.inquiries.lock().remove(&holder));
+        let (events, epoch) = (self.events.clone(), self.epoch);
+        tokio::spawn(async move {
+            let channel = match channel {
+                Some(channel) => channel,
+                None if delete => match patiently(connection.open_channel(None)).await {
+                    Ok(channel) => channel,
+                    Err(_) => return,
+                },
+                None => return,
+            };
+            let watch = Watch::default();
+            let _ = patiently(channel.register_callback(watch.clone())).await;
+            if delete {
+                let deleted = patiently(channel.queue_delete(QueueDeleteArguments::new(&queue_of(holder)))).await;
+                if deleted.is_ok() || watch.code() == Some(NOT_FOUND) {
+                    let _ = events.send((Some(epoch), Event::Cleared(holder)));
+                }
+            }
+            let _ = patiently(channel.close()).await;
+        });
+    }
+}
+
+type Consumer = mpsc::UnboundedReceiver<ConsumerMessage>;
+
+/// Reads all receipts of another connection and keeps them from everybody else, as long as the channel is open.
+async fn inquire(connection: &Connection, holder: Holder, epoch: u64) -> Result<(Receipts, Channel), Receipts> {
+    let queue = queue_of(holder);
+    let watch = Watch::default();
+    let busy = |_: End| Receipts::Busy;
+    let channel = patiently(connection.open_channel(None)).await.map_err(busy)?;
+    patiently(channel.register_callback(watch.clone())).await.map_err(busy)?;
+    let args = BasicConsumeArguments::new(&queue, &queue).manual_ack(true).exclusive(true).finish();
+    let consumer = patiently(channel.basic_consume_rx(args)).await;
+    let Ok((_, mut receipts)) = consumer else {
+        // The reason comes with the end of the channel.
+        let missing = watch.code() == Some(NOT_FOUND) && connection.is_open();
+        return Err(if missing { Receipts::Lost } else { Receipts::Busy });
+    };
+    // What comes before this one is all that was there.
+    let end = format!("end {epoch} {}", std::process::id()).into_bytes();
+    let sent = channel.basic_publish(BasicProperties::default(), end.clone(), BasicPublishArguments::new("", &queue));
+    patiently(sent).await.map_err(busy)?;
+    let mut keys = std::collections::BTreeSet::new();
+    loop {
+        let next = tokio::time::timeout(PATIENCE, receipts.recv()).await;
+        let Ok(Some(m)) = next else {
+            let _ = patiently(channel.close()).await;
+            return Err(Receipts::Busy);
+        };
+        let body = m.content.unwrap_or_default();
+        if body == end {
+            return Ok((Receipts::All(keys), channel));
+        }
+        keys.extend(decode(&body));
+    }
+}
+
+fn header<'a>(headers: Option<&'a FieldTable>, name: &str) -> Option<&'a FieldValue> {
+    headers?.get(&name.try_into().ok()?)
+}
+
+fn text(value: &FieldValue) -> Option<String> {
+    <&str>::try_from(value).ok().map(str::to_owned)
+}
+
+fn truth(value: Option<&FieldValue>) -> bool {
+    match value {
+        Some(FieldValue::t(is)) => *is,
+        Some(other) => text(other).is_some_and(|t| t == "true"),
+        None => false,
+    }
+}
+
+/// A number, however its client's library wrote it. What is none becomes one that is refused.
+fn number(value: &FieldValue) -> f64 {
+    match value {
+        FieldValue::b(n) => f64::from(*n),
+        FieldValue::B(n) => f64::from(*n),
+        FieldValue::s(n) => f64::from(*n),
+        FieldValue::u(n) => f64::from(*n),
+        FieldValue::I(n) => f64::from(*n),
+        FieldValue::i(n) => f64::from(*n),
+        FieldValue::l(n) => *n as f64,
+        FieldValue::f(n) => f64::from(*n),
+        FieldValue::d(n) => *n,
+        other => text(other).and_then(|t| t.parse().ok()).unwrap_or(f64::NAN),
+    }
+}
+
+fn read(queue: &str, m: ConsumerMessage) -> Option<(Tag, Message)> {
+    let (deliver, properties, mut body) = (m.deliver?, m.basic_properties?, m.content?);
+    // Of a body that is refused for its size nothing more is needed than that, and what tells it apart.
+    if body.len() > BODY_LIMIT && properties.message_id().is_some() {
+        body.truncate(BODY_LIMIT + 1);
+        body.shrink_to_fit();
+    }
+    let headers = properties.headers();
+    let message = Message {
+        queue: queue.to_owned(),
+        id: properties.message_id().cloned(),
+        reply_to: properties.reply_to().filter(|r| !r.is_empty()).cloned(),
+        correlation: properties.correlation_id().cloned(),
+        urgency: header(headers, "urgency").and_then(text),
+        due_s: header(headers, "due_s").map(number),
+        awaits: header(headers, "awaits").and_then(text),
+        cancel: truth(header(headers, "cancel")),
+        interim: truth(header(headers, "interim")),
+        redelivered: deliver.redelivered(),
+        body,
+    };
+    Some((deliver.delivery_tag(), message))
+}
+
+fn properties(of: Key, correlation: Option<&str>) -> BasicProperties {
+    let mut p = BasicProperties::default();
+    p.with_content_type("application/json").with_persistence(true).with_message_id(&of.to_string());
+    if let Some(correlation) = correlation {
+        p.with_correlation_id(correlation);
+    }
+    p
+}
+
+fn dead(letter: &DeadLetter) -> BasicProperties {
+    let mut headers = FieldTable::new();
+    // Texts of this length always fit.
+    if let (Ok(name), Ok(reason)) = ("reason".try_into(), letter.reason.as_str().try_into()) {
+        headers.insert(name, FieldValue::S(reason));
+    }
+    let mut p = BasicProperties::default();
+    p.with_persistence(true).with_message_id(&letter.of.to_string()).with_headers(headers);
+    p
+}
+
+/// The body of the final answer.
+fn last(answer: &Answer) -> Vec<u8> {
+    let (status, reason) = match &answer.outcome {
+        Outcome::Done => ("done", None),
+        Outcome::Cancelled => ("cancelled", None),
+        Outcome::Refused(why) => ("refused", Some(why)),
+    };
+    let mut body = json!({ "nameId": answer.job, "status": status, "final": true });
+    if let Some(reason) = reason {
+        body["reason"] = json!(reason);
+    }
+    if answer.repeated {
+        body["repeated"] = json!(true);
+    }
+    body.to_string().into_bytes()
+}
+
+/// The body of an interim one.
+fn interim(notice: &Notice) -> Vec<u8> {
+    let body = match notice.progress {
+        Progress::Accepted => json!({ "nameId": notice.job, "status": "accepted", "final": false }),
+        Progress::Delayed(after) => {
+            let after = after as f64 / 1e6;
+            json!({ "nameId": notice.job, "status": "delayed", "retryAfterS": after, "final": false })
+        }
+    };
+    body.to_string().into_bytes()
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -38,11 +38,31 @@
     },
     /// Prints the schema of the operators' own settings.
     Schema,
+    /// AMQP work queues: takes submissions from a broker's queues, and gives each message its one answer.
+    ///
+    /// It is a user of the controllers, and may run beside them or elsewhere, in any number. SIGTERM ends it: what is
+    /// certain is answered, and the rest goes back to the broker.
+    #[cfg(feature = "queues")]
+    #[command(args_conflicts_with_subcommands = true)]
+    Queues {
+        #[command(subcommand)]
+        command: Option<QueuesCommand>,
+    },
     /// Rules for where jobs run: checks a file, explains what it makes of a job.
     #[command(subcommand)]
     Rules(RulesCommand),
 }
 
+/// What is done with the queues' settings.
+#[cfg(feature = "queues")]
+#[derive(Subcommand)]
+enum QueuesCommand {
+    /// Checks the settings and the files that they name, without connecting to anything.
+    Check,
+    /// Prints the schema of the settings.
+    Schema,
+}
+
 /// What is done with rules.
 #[derive(Subcommand)]
 enum RulesCommand {
@@ -72,6 +92,12 @@
     Schema,
 }
 
+/// Prints a line. A reader that has gone away is nobody's mistake.
+fn say(line: &str) {
+    use std::io::Write;
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
 /// The exit status for a job that no machine could run.
 const IMPOSSIBLE: u8 = 3;
 
@@ -191,15 +217,15 @@
     match command {
         RulesCommand::Check { file } => {
             let set = RuleSet::parse(&read(file)?).map_err(|e| format!("{file}: {e}"))?;
-            println!("ok: {} rules, version {:016x}", set.rules.len(), set.digest);
+            say(&format!("ok: {} rules, version {:016x}", set.rules.len(), set.digest));
         }
-        RulesCommand::Schema => println!("{}", RuleSet::schema()),
+        RulesCommand::Schema => say(&RuleSet::schema()),
         RulesCommand::Explain { rules, job, machines, json } => {
             let report = cometlead::explain::report(&read(rules)?, &read(job)?, &read(machines)?)?;
             if *json {
-                println!("{}", serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?);
+                say(&serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?);
             } else {
-                println!("{}", explain(&report));
+                say(&explain(&report));
             }
             if !report.possible {
                 return Ok(ExitCode::from(IMPOSSIBLE));
@@ -209,20 +235,56 @@
     Ok(ExitCode::SUCCESS)
 }
 
+#[cfg(feature = "queues")]
+fn act_on_queues(settings: Option<&str>, command: Option<&QueuesCommand>) -> Result<ExitCode, String> {
+    use cometlead_queues::settings::QueueSettings;
+    use cometlead_queues::shell::Queues;
+    if let Some(QueuesCommand::Schema) = command {
+        say(&QueueSettings::schema());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let path = settings.ok_or("--settings FILE is missing; see queues --help")?;
+    let bad = |e: &dyn std::fmt::Display| format!("{path}: {e}");
+    let parsed = QueueSettings::parse(&read(path)?).map_err(|e| bad(&e))?;
+    let base = Path::new(path).parent().unwrap_or(Path::new(""));
+    let queues = Queues::new(parsed, base).map_err(|e| bad(&e))?;
+    if let Some(QueuesCommand::Check) = command {
+        say("ok");
+        return Ok(ExitCode::SUCCESS);
+    }
+    start_log();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    runtime.block_on(async {
+        use tokio::signal::unix::{SignalKind, signal};
+        let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+        let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+        let stop = async {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+        };
+        queues.serve(rand::random(), stop).await;
+        Ok(ExitCode::SUCCESS)
+    })
+}
+
 fn act(cli: &Cli) -> Result<ExitCode, String> {
     match &cli.command {
         Some(Command::Schema) => {
-            println!("{}", OperatorSettings::schema());
+            say(&OperatorSettings::schema());
             Ok(ExitCode::SUCCESS)
         }
         Some(Command::Rules(command)) => act_on_rules(command),
+        #[cfg(feature = "queues")]
+        Some(Command::Queues { command }) => act_on_queues(cli.settings.as_deref(), command.as_ref()),
         Some(Command::Check { config }) => {
             let config = config.as_deref().or(cli.config.as_deref());
             if config.is_none() && cli.settings.is_none() {
                 return Err("nothing to check: give --config, --settings or both".to_owned());
             }
             load(cli, config)?;
-            println!("ok");
+            say("ok");
             Ok(ExitCode::SUCCESS)
         }
         None => match load(cli, cli.config.as_deref())? {
