Pages after long absences, a read first, starts in series, a floor under shortage

Needs: a controller back after 60 s stayed out for as long again, for it asked for ever larger answers that it does not read; after a freeze silence was judged on an old copy; a process that ends again and again dragged its slices to and fro; urgent bursts left whole classes with nothing; and a controller that had been away wrote hints into dead connections.

Changes: too large an answer is told from none and the copy read anew in pages; groups decoded once an answer; an absence of its own is noticed and a read comes first; recent starts in node records; max-min floors by class and team; hints listen.

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -14,5 +14,7 @@
 pub mod pipeline;
 pub mod placement;
 pub mod records;
+pub mod shares;
+pub mod starts;
 pub mod time;
 pub mod view;
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -4,6 +4,7 @@
 use super::finished::Finished;
 pub use super::group::{Booking, Fitness, GroupRecord, MachineRecord};
 use super::ids::{JobId, MachineId, Part, Slice};
+use super::starts::Starts;
 use super::time::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -147,6 +148,9 @@
     /// The digest of the rules that it was started with. None without any.
     #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
     pub rules: Option<u64>,
+    /// When it started lately, this run included. Earlier versions did not say.
+    #[serde(rename = "s", default, skip_serializing_if = "Starts::is_empty")]
+    pub starts: Starts,
 }
 
 /// The owner of a slice. The record's stamp is the owner's term.
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -68,6 +68,19 @@
     pub number: u64,
 }
 
+/// A job that is live no more.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// The job.
+    pub job: JobId,
+    /// How it ended, where that is known.
+    pub how: Option<FinalRecord>,
+    /// Its class.
+    pub lane: String,
+    /// Its team.
+    pub crew: String,
+}
+
 /// What applying changes did, for those who must act on it.
 #[derive(Clone, Debug, Default)]
 pub struct Touched {
@@ -79,8 +92,8 @@
     pub usage: bool,
     /// Jobs that came, changed or went.
     pub jobs: Vec<JobId>,
-    /// Jobs whose records were removed, and how they ended, where that is known.
-    pub ended: Vec<(JobId, FinalRecord)>,
+    /// Jobs whose records were removed.
+    pub ended: Vec<Ended>,
     /// A controller came or went.
     pub nodes: bool,
     /// Rules, or what they are judged by, changed.
@@ -428,7 +441,8 @@
             (Key::Job(id), None) => {
                 if let Some(job) = self.jobs.remove(&id) {
                     let end = self.pipelines.ended(id, &job, self.today, &mut self.jobs, &mut touched.jobs);
-                    touched.ended.extend(end.map(|e| (id, e)));
+                    let JobSpec { lane, crew, .. } = job.record.spec;
+                    touched.ended.push(Ended { job: id, how: end, lane, crew });
                 }
                 touched.jobs.push(id);
             }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -114,6 +114,19 @@
     pub fn look(&mut self) {
         self.looking = true;
     }
+
+    /// This process did not run for so long: what was idle, silent or on its way is not judged by that time.
+    pub fn was_away(&mut self, now: Micros, span: Micros) {
+        self.idle.clear();
+        self.lost.clear();
+        self.spare.clear();
+        for k in self.known.values_mut().filter(|k| k.booting) {
+            // It may have come up meanwhile, and nothing is learned of how long that took.
+            k.booting = false;
+            k.since += span;
+        }
+        self.next_list = now;
+    }
 }
 
 impl Controller {
--- a/src/coordination/fleet/answers.rs
+++ b/src/coordination/fleet/answers.rs
@@ -60,6 +60,12 @@
         if !self.owns(0) {
             return;
         }
+        if self.absence.in_doubt() {
+            // Written before an absence: by now another owner may have hired for the same need. The record keeps what
+            // was planned counted for as long as a rental without an answer.
+            tracing::info!(rentals = new.len(), "planned before the absence, not sent");
+            return;
+        }
         for h in new {
             tracing::info!(hire = h.name, build = h.build, spot = h.spot, count = h.count, "hiring");
             self.fleet.hiring += 1;
--- a/src/coordination/fleet/returns.rs
+++ b/src/coordination/fleet/returns.rs
@@ -75,6 +75,7 @@
         self.fleet.lost = seen_lost;
         for (m, why) in marks {
             if self.rounds.releasing(m) {
+                self.counters.unneeded += u64::from(matches!(why, "idle" | "spare"));
                 tracing::info!(machine = %m, why, "returning");
             }
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock, so the scenario runner can drive several controllers
 //! through any order of messages.
 
+mod absence;
 mod budget;
 mod draft;
 mod fleet;
@@ -13,6 +14,7 @@
 mod reader;
 mod rounds;
 mod rules;
+mod served;
 mod sessions;
 mod users;
 
@@ -144,6 +146,12 @@
     pub refused: u64,
     /// Slices taken over.
     pub takeovers: u64,
+    /// Times that this process itself did not run for a while.
+    pub absences: u64,
+    /// Sessions declared over for their silence.
+    pub silenced: u64,
+    /// Machines that were to be returned for want of work.
+    pub unneeded: u64,
     /// Bookings of jobs with preferences, and those of them whose machines meet the weightiest.
     pub wishes: (u64, u64),
     /// Changes of groups, usage, jobs and their chunks, and ends of jobs in its rounds.
@@ -178,6 +186,7 @@
     limits: limits::InForce,
     budget: Budget,
     view: View,
+    absence: absence::Absence,
     reader: reader::Reader,
     ownership: ownership::Ownership,
     sessions: BTreeMap<MachineId, sessions::Session>,
@@ -191,6 +200,7 @@
     look_ups: pipelines::LookUps,
     fleet: fleet::Fleet,
     rules: rules::Rules,
+    served: served::Served,
     peers: HashMap<String, (Micros, PeerHint)>,
     next_sweep: Micros,
     next_hint: Micros,
@@ -213,6 +223,7 @@
             limits: limits::InForce::new(&cfg),
             budget: Budget::new(cfg.state_rps / share, cfg.limits.write_rps / share),
             view: View::default(),
+            absence: absence::Absence::default(),
             reader: reader::Reader::default(),
             ownership: ownership::Ownership::default(),
             sessions: BTreeMap::new(),
@@ -224,6 +235,7 @@
             look_ups: pipelines::LookUps::default(),
             fleet: fleet::Fleet::default(),
             rules: rules::Rules::default(),
+            served: served::Served::default(),
             peers: HashMap::new(),
             next_sweep: Micros::ZERO,
             next_hint: Micros::ZERO,
@@ -248,6 +260,7 @@
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Effect> {
         self.now = Now { steady: now.steady.max(self.now.steady), day: now.day };
         self.view.today = now.day;
+        self.note_time();
         match event {
             Event::Tick => {}
             Event::User(call, request) => self.on_user(call, request),
@@ -323,16 +336,20 @@
         self.pump_pipelines();
         self.pump_rules();
         self.pump_users();
-        self.pump_fleet();
-        self.pump_rounds();
+        if !self.absence.in_doubt() {
+            self.pump_fleet();
+            self.pump_rounds();
+        }
         self.pump_sessions();
         self.pump_reader();
         self.pump_hints();
     }
 
     fn sweep(&mut self) {
-        self.sweep_reach();
-        self.sweep_sessions();
+        if !self.absence.in_doubt() {
+            self.sweep_reach();
+            self.sweep_sessions();
+        }
         self.sweep_users();
         self.sweep_rules();
         if self.now.steady >= self.next_count {
@@ -347,6 +364,9 @@
                 booked = c.booked,
                 cleared = c.cleared,
                 refused = c.refused,
+                absences = c.absences,
+                silenced = c.silenced,
+                unneeded = c.unneeded,
                 groups = c.changes.groups,
                 usage = c.changes.usage,
                 jobs = c.changes.jobs,
@@ -359,6 +379,7 @@
                 polls_refused = polls.refused,
                 "counts so far"
             );
+            self.log_served();
         }
     }
 
@@ -387,6 +408,11 @@
     }
 
     fn on_hint(&mut self, hint: PeerHint) {
+        // A word of an earlier run that arrives late: its copy had not come as far as the record of a later run.
+        let later = self.view.nodes.get(&hint.node).is_some_and(|n| n.value.run != hint.run && n.stamp > hint.epoch);
+        if later {
+            return;
+        }
         for (k, (term, owns)) in hint.terms.iter().enumerate() {
             if *owns && self.owns(k) && *term > self.view.own[k].stamp {
                 tracing::info!(slice = k, term, peer = hint.node, "told of a newer term");
@@ -495,8 +521,11 @@
         for m in &touched.machines {
             self.on_machine_changed(*m);
         }
-        for (id, f) in &touched.ended {
-            self.users.remember(*id, *f);
+        for ended in &touched.ended {
+            self.served.note(ended);
+            if let Some(f) = ended.how {
+                self.users.remember(ended.job, f);
+            }
         }
         for j in &touched.jobs {
             self.users.appeared(*j);
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -3,11 +3,12 @@
 use super::{Controller, Purpose};
 use crate::bookkeeping::ids::Slice;
 use crate::bookkeeping::records::{FIRST_LAYOUT, Key, MetaRecord, NodeRecord, OwnRecord, is_ruled};
+use crate::bookkeeping::starts::Starts;
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::Job;
 use crate::protocol::settings::Team;
 use crate::protocol::state::{CallError, Put, StateReply, StateRequest, Txn, encode};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// An unbroken ownership of a slice by this process.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +38,10 @@
 
     meta_at: Micros,
     ready_since: Option<Micros>,
+    /// Recent starts of this controller, this one included, once it is known of earlier ones.
+    starts: Option<Starts>,
+    /// Controllers that were last said to end too often to take slices.
+    unsteady: BTreeSet<String>,
     raise: Vec<Slice>,
     /// The layout that each controller was last seen to understand, alive or not: one that has a new
     /// version comes back with it.
@@ -302,10 +307,13 @@
             None
         } else {
             let layout = self.wanted_layout();
+            let before = self.view.nodes.get(&self.cfg.node).map(|n| n.value.starts.clone()).unwrap_or_default();
+            let starts = self.ownership.starts.get_or_insert_with(|| before.and(self.now.day)).clone();
             encode(&NodeRecord {
                 run: self.run,
                 layout: (layout > FIRST_LAYOUT).then_some(layout),
                 rules: self.rules.digest(),
+                starts,
             })
         };
         let permit = (!gone).then_some(lease);
@@ -328,7 +336,7 @@
     fn pump_claims(&mut self) {
         let now = self.now.steady;
         self.ownership.next_claim = now + Micros::millis(1_000);
-        if !self.alive() || self.reach.withdrawn() {
+        if self.absence.in_doubt() || !self.alive() || self.reach.withdrawn() {
             return;
         }
         // At the very first start the others are about to appear as well.
@@ -365,7 +373,9 @@
         if !raise.is_empty() {
             return (raise, "to settle launches without an answer");
         }
-        let mut load: BTreeMap<&str, usize> = self.view.nodes.keys().map(|n| (n.as_str(), 0)).collect();
+        self.note_unsteady();
+        let steady = |n: &&String| !self.ownership.unsteady.contains(*n);
+        let mut load: BTreeMap<&str, usize> = self.view.nodes.keys().filter(steady).map(|n| (n.as_str(), 0)).collect();
         let mut orphans = Vec::new();
         let mut mine_again = Vec::new();
         for k in 0..slices {
@@ -394,6 +404,9 @@
         let others = self.cfg.controllers();
         let just_started = now.since(self.ownership.ready_since.unwrap_or(now)) < Micros::millis(400);
         if just_started && self.view.nodes.len() < others {
+            if !load.contains_key(self.cfg.node.as_str()) {
+                return (wanted, "");
+            }
             let before_me = self.cfg.others.iter().filter(|o| o.node < self.cfg.node).count();
             orphans.retain(|k| k % others == before_me);
             self.ownership.next_claim = now + Micros::millis(100);
@@ -433,6 +446,28 @@
         (wanted, "")
     }
 
+    /// Notes which live controllers start too often to take slices. Where hardly any other is left, all may.
+    fn note_unsteady(&mut self) {
+        let day = self.now.day;
+        let all = &self.view.nodes;
+        let mut unsteady: BTreeSet<String> =
+            all.iter().filter(|(_, n)| !n.value.starts.is_steady(day)).map(|(name, _)| name.clone()).collect();
+        if (all.len() - unsteady.len()) * 3 < all.len() {
+            unsteady.clear();
+        }
+        for name in unsteady.difference(&self.ownership.unsteady) {
+            let lives = all.get(name).map_or(Micros::ZERO, |n| n.value.starts.steady_from().since(day));
+            tracing::info!(
+                controller = name,
+                "starts again and again: takes no slices before it has lived for {lives}"
+            );
+        }
+        for name in self.ownership.unsteady.difference(&unsteady) {
+            tracing::info!(controller = name, "may take slices again, or is gone");
+        }
+        self.ownership.unsteady = unsteady;
+    }
+
     pub(super) fn on_claimed(&mut self, slices: &[Slice], result: Result<StateReply, CallError>) {
         self.ownership.claiming = false;
         // The copy learns of it by reading, so that all changes up to the claim are in it too.
--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -58,6 +58,7 @@
         let now = self.now.steady;
         let begun = (0..self.view.own.len()).filter_map(|k| Some(self.ownership.tenure(k)?.since)).min();
         let (Some(begun), workers) = (begun, self.sessions.len() as u64) else { return false };
+        let begun = begun.max(self.absence.back());
         if workers == 0 {
             return false;
         }
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -80,6 +80,8 @@
     const BARRIER_SPACING: Micros = Micros::millis(60);
     /// The same for polls, whose users wait for up to two seconds.
     const POLL_SPACING: Micros = Micros::millis(180);
+    /// Longer than a watch that is answered in its time can make contact look.
+    const FAR_BEHIND: Micros = Micros::secs(4);
     /// How long a watch waits. Short enough that contact never looks old in quiet times.
     const WATCH_WAIT: Micros = Micros::millis(2_000);
 
@@ -108,7 +110,8 @@
 
     fn pump_watch(&mut self) {
         let now = self.now.steady;
-        if self.reader.watching.is_some() {
+        let behind = self.is_far_behind(now);
+        if self.reader.watching.is_some() || behind && self.reader.barrier.is_some() {
             return;
         }
         if now < self.reader.next_watch {
@@ -119,7 +122,7 @@
             self.wake_at(at);
             return;
         }
-        let wait = if self.reader.ready() { Self::WATCH_WAIT } else { Micros::ZERO };
+        let wait = if self.reader.ready() && !behind { Self::WATCH_WAIT } else { Micros::ZERO };
         let after = self.view.epoch;
         self.reader.watching = Some(now);
         self.ask_state(Purpose::Watch, StateRequest::Changes { after, wait });
@@ -131,6 +134,9 @@
         if !urgent && !self.reader.wanted_soon || self.reader.barrier.is_some() || !self.reader.ready() {
             return;
         }
+        if self.is_far_behind(now) && self.reader.watching.is_some_and(|sent| self.is_far_behind(sent)) {
+            return;
+        }
         let at =
             if urgent { self.reader.next_barrier } else { self.reader.next_poll_read.max(self.reader.next_barrier) };
         if now < at {
@@ -202,11 +208,9 @@
         }
         match result {
             Ok(StateReply::Changes(changes, epoch)) => self.take_changes(id, sent, changes, epoch),
-            Ok(StateReply::TooOld) => {
-                tracing::info!(epoch = self.view.epoch, "the copy is too old, reading everything anew");
-                self.lose_all_tenures();
-                self.reader.phase = Phase::Empty;
-            }
+            Ok(StateReply::TooOld) => self.read_anew("the service has dropped the changes since"),
+            // Asked for again it would only be larger: all changes come at once, however many there are.
+            Err(CallError::TooLarge) => self.read_anew("the changes since are more than is read at once"),
             other => {
                 if watch {
                     self.reader.next_watch = now + Micros::millis(250);
@@ -220,6 +224,24 @@
         }
     }
 
+    /// The copy can't be brought forward: it is read anew in pages, from now on and with no tenure meanwhile.
+    fn read_anew(&mut self, why: &'static str) {
+        // Several reads may have been under way, and the first answer of them was enough.
+        if matches!(self.reader.phase, Phase::Empty | Phase::Listing) {
+            return;
+        }
+        tracing::info!(epoch = self.view.epoch, why, "the copy is too old, reading everything anew");
+        self.lose_all_tenures();
+        self.reader.phase = Phase::Empty;
+        self.reader.retry = self.now.steady;
+    }
+
+    /// Whether the copy is so far behind that an answer with all changes since may be large: then there is one read at
+    /// a time, for each would bring the same.
+    fn is_far_behind(&self, at: Micros) -> bool {
+        self.reader.phase == Phase::Ready && at.since(self.reader.contact) > Self::FAR_BEHIND
+    }
+
     fn take_changes(&mut self, id: CallId, sent: Micros, changes: Vec<Change>, epoch: u64) {
         if matches!(self.reader.phase, Phase::Empty | Phase::Listing) {
             return;
@@ -235,6 +257,7 @@
         self.reader.contact = self.reader.contact.max(sent);
         self.reader.answered = self.now.steady;
         self.reader.read = self.reader.read.max(id.0);
+        self.end_doubt();
         if self.reader.phase == Phase::Listed {
             if epoch < self.reader.whole_at {
                 return;
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -3,6 +3,7 @@
 
 mod asks;
 mod drafting;
+mod floors;
 mod order;
 
 use super::draft::{Commit, Limits};
@@ -36,9 +37,19 @@
 }
 
 /// What comes first: what is not suspect, then work within its team's guarantee, then the urgent, then
-/// what must start soonest, then the oldest.
+/// what must start soonest, then the oldest. What would be left behind goes ahead of that.
 type Precedence = (bool, bool, Urgency, Micros, Micros);
 
+/// A job's turn in the order.
+struct Turn<'a> {
+    id: JobId,
+    job: &'a Job,
+    /// Most of its tasks that may be placed in this turn.
+    most: u64,
+    /// It goes ahead of others for the sake of its class or team.
+    ahead: bool,
+}
+
 /// A job that is suspected to fail wherever it runs.
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
--- a/src/coordination/rounds/asks.rs
+++ b/src/coordination/rounds/asks.rs
@@ -1,6 +1,7 @@
 //! What jobs ask of a plan, in their order, as far as limits let them.
 
-use super::{Precedence, Rounds};
+use super::floors::Floors;
+use super::{Precedence, Rounds, Turn};
 use crate::bookkeeping::admission::House;
 use crate::bookkeeping::ids::{JobId, Slice};
 use crate::bookkeeping::job::JobSpec;
@@ -17,7 +18,7 @@
     /// What the jobs ask for, as far as their teams' limits let them.
     pub(super) fn asks<'a>(
         &'a self,
-        jobs: Vec<(JobId, &'a Job)>,
+        turns: Vec<Turn<'a>>,
         draft: &Draft<'_>,
         house: Option<&'a House<'a>>,
     ) -> Vec<Ask<'a>> {
@@ -26,7 +27,7 @@
         let mut left: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
         let up = self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up);
         let kinds: BTreeSet<(&str, &str, bool)> = up.map(|(_, _, r)| (&*r.build, &*r.yard, r.spot)).collect();
-        for (id, job) in jobs {
+        for Turn { id, job, most: in_turn, ahead } in turns {
             if wanted >= Self::CLAIMS {
                 break;
             }
@@ -63,6 +64,7 @@
                 (_, true) => (Self::CLAIMS - wanted).max(spec.pieces as usize),
                 _ => Self::CLAIMS - wanted,
             };
+            let cap = if whole { cap } else { cap.min(usize::try_from(in_turn).unwrap_or(usize::MAX)) };
             let tasks: Vec<u32> = self.view.pending(id, job).take(cap).collect();
             if mine {
                 wanted += tasks.len();
@@ -82,7 +84,8 @@
                 price_limit: if suspect { self.fair_price(spec) } else { self.price_limit_among(id, job, &kinds) },
                 owner: k,
                 mine,
-                preempts: self.preempts(job) && !suspect,
+                // What goes ahead for its class waits for room; it takes none from what runs.
+                preempts: self.preempts(job) && !suspect && !ahead,
                 modest: suspect,
                 guaranteed: team.is_some_and(|t| t.has_share()) && !self.borrows(job, k),
                 whole,
@@ -126,14 +129,19 @@
     }
 
     /// Tasks on a machine that may have to make room, the latest started last.
-    pub(super) fn running(&self, r: &MachineRecord, drafted: Option<&MachineRecord>) -> Vec<Running> {
+    pub(super) fn running(
+        &self,
+        r: &MachineRecord,
+        drafted: Option<&MachineRecord>,
+        floors: &Floors<'_>,
+    ) -> Vec<Running> {
         let mut running: Vec<Running> = r
             .tasks
             .iter()
             .filter(|b| !r.preempted.contains(b) && drafted.is_some_and(|d| d.tasks.contains(b)))
             .filter_map(|b| {
                 let id = b.attempt().task.job;
-                let job = self.view.jobs.get(&id)?;
+                let job = self.view.jobs.get(&id).filter(|j| !self.is_shielded(j, floors))?;
                 let k = self.view.job_slice(id, job.spec());
                 let team = self.cfg.team(&job.spec().crew);
                 let borrowed = team.is_some_and(|t| {
@@ -181,8 +189,8 @@
         self.cfg.team(&job.spec().crew).is_some_and(|t| self.unplaced(t))
     }
 
-    /// All jobs with tasks to place, the most pressing first.
-    pub(super) fn jobs_in_order(&self) -> Vec<(JobId, &Job)> {
+    /// All jobs with tasks to place, the most pressing first, and who is left behind.
+    pub(super) fn jobs_in_order(&self) -> (Vec<Turn<'_>>, Floors<'_>) {
         let mut jobs: Vec<(Precedence, JobId, &Job)> = Vec::new();
         for (id, job) in &self.view.jobs {
             let none = !job.ready() || self.view.pending_count(*id, job) == 0;
@@ -192,11 +200,25 @@
             let spec = job.spec();
             let borrows = self.borrows(job, self.view.job_slice(*id, spec));
             let suspect = self.rounds.is_suspect(*id);
-            let key = (suspect, borrows, job.urgency(), self.latest_start(job), job.record.submitted);
+            let key: Precedence = (suspect, borrows, job.urgency(), self.latest_start(job), job.record.submitted);
             jobs.push((key, *id, job));
         }
         jobs.sort_by(|a, b| (&a.0, a.1).cmp(&(&b.0, b.1)));
-        jobs.into_iter().map(|(_, id, j)| (id, j)).collect()
+        let jobs: Vec<(JobId, &Job)> = jobs.into_iter().map(|(_, id, j)| (id, j)).collect();
+        let floors = self.floors(&jobs);
+        let mut left = floors.clone();
+        let (mut ahead, mut rest) = (Vec::new(), Vec::new());
+        for (id, job) in jobs {
+            let most =
+                if self.rounds.is_suspect(id) { 0 } else { left.take(job, self.view.pending_count(id, job).into()) };
+            if most > 0 {
+                ahead.push(Turn { id, job, most, ahead: true });
+            } else {
+                rest.push(Turn { id, job, most: u64::MAX, ahead: false });
+            }
+        }
+        ahead.extend(rest);
+        (ahead, floors)
     }
 
     /// A job that fails wherever it runs is tried ever more seldom, until its user ends it.
--- a/src/coordination/rounds/drafting.rs
+++ b/src/coordination/rounds/drafting.rs
@@ -213,12 +213,12 @@
     /// Plans on the copy as the draft would leave it, and books what the draft can take; of the own
     /// jobs, if `at_once`, only those that must start at once.
     pub(super) fn book(&self, draft: &mut Draft<'_>, at_once: bool) -> Vec<(Claim, u64)> {
-        let jobs = self.jobs_in_order();
-        if !jobs.iter().any(|(id, j)| self.owns(self.view.job_slice(*id, j.spec()))) {
+        let (turns, floors) = self.jobs_in_order();
+        if !turns.iter().any(|t| self.owns(self.view.job_slice(t.id, t.job.spec()))) {
             return Vec::new();
         }
         let house = self.rules.active().then(|| self.house());
-        let mut asks = self.asks(jobs, draft, house.as_ref());
+        let mut asks = self.asks(turns, draft, house.as_ref());
         if at_once {
             asks.iter_mut().for_each(|a| a.mine &= self.starts_at_once(a.spec));
         }
@@ -280,7 +280,7 @@
         let attempt = |c: &Claim| Attempt { task: TaskId { job: c.job, index: c.index }, number };
         let mut booked = Vec::new();
         if asks.iter().any(|a| a.mine && a.preempts) {
-            let running = |m| self.view.machine(m).map_or(Vec::new(), |r| self.running(r, draft.machine(m)));
+            let running = |m| self.view.machine(m).map_or(Vec::new(), |r| self.running(r, draft.machine(m), &floors));
             for t in preempt(&mut slots, &asks, &claims, Self::TAKEOVERS, &running) {
                 let tasks: Vec<Attempt> = t.claims.iter().map(attempt).collect();
                 if draft.book_over(t.machine, &t.victims, &tasks) {
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -588,13 +588,14 @@
         let unheard = Micros::millis(5_500);
         // What nobody's worker can be heard by says nothing about the workers.
         let deaf = self.deaf();
+        let back = self.absence.back();
         let mut probes = Vec::new();
         for (m, s) in &mut self.sessions {
             let Some(tenure) = self.ownership.tenure(self.view.machine_slice(*m)) else {
                 continue;
             };
             let quiet = now.since(s.answered.unwrap_or(tenure.since));
-            let wordless = now.since(s.word.unwrap_or(tenure.since));
+            let wordless = now.since(s.word.unwrap_or(tenure.since).max(back));
             if wordless <= due {
                 continue;
             }
@@ -607,6 +608,7 @@
                 if s.refused < s.order.0 {
                     tracing::info!(machine = %m, session = s.order.0, quiet = %quiet, "silent, its session is over");
                     s.refused = s.order.0;
+                    self.counters.silenced += 1;
                 }
                 if dead < s.refused {
                     let fitness = fitness.max(Fitness::Lost);
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -368,6 +368,15 @@
         self.teams.iter().find(|t| t.name == name)
     }
 
+    /// Bytes of the largest answer that is read of the state service and the cloud. An answer with changes has no size
+    /// limit of its own; after an absence it would hold all that happened meanwhile, and reading everything anew in
+    /// pages (of 512 KiB at most) takes less. While it is read, an answer is in memory about three times over.
+    pub fn body_limit(&self) -> usize {
+        const LEAST: f64 = 1024.0 * 1024.0;
+        const MOST: f64 = 6.0 * LEAST;
+        (self.ram_mb * 1e6 / 32.0).clamp(LEAST, MOST) as usize
+    }
+
     /// Number of controllers.
     pub fn controllers(&self) -> usize {
         self.others.len() + 1
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -5,6 +5,7 @@
 use crate::bookkeeping::view::{Change, Content};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
+use std::collections::HashMap;
 use thiserror::Error;
 
 /// Why a call brought nothing.
@@ -19,6 +20,9 @@
     /// Refused for its rate: 429.
     #[error("too many requests")]
     TooMany,
+    /// Answered, with more than is read at once; of a transaction that says no more than no answer does.
+    #[error("the answer is too large")]
+    TooLarge,
     /// Refused as wrong: 400.
     #[error("refused")]
     Refused,
@@ -268,6 +272,16 @@
     Some(Change { key, content, stamp })
 }
 
+/// Where the last change of each group stands in a log.
+///
+/// A group that changes again within the same answer is read once: a copy is used only with all changes of an answer in,
+/// and of a group nothing but its newest content tells anything. (Of a job it does: that it was cancelled before its
+/// record went says how it ended.) After an absence groups are nearly all that an answer holds, each many times.
+fn last_of_groups<'a>(log: &'a [LogWire<'_>]) -> HashMap<&'a str, usize> {
+    let keys = log.iter().enumerate().filter_map(|(i, l)| Some((l.write.as_deref().or(l.remove.as_deref())?, i)));
+    keys.filter(|(key, _)| key.strip_prefix(LIVE).is_some_and(|k| k.starts_with("group/"))).collect()
+}
+
 /// Reads a response.
 pub fn parse(request: &StateRequest, status: u16, body: &[u8]) -> Result<StateReply, CallError> {
     match status {
@@ -310,7 +324,10 @@
         (StateRequest::Touch(_), 404) => Ok(StateReply::NoLease),
         (StateRequest::Changes { .. }, 200) => {
             let w: ChangesWire = serde_json::from_slice(body).map_err(bad)?;
-            let changes = w.log.iter().filter_map(|l| match (&l.write, &l.remove) {
+            let last = last_of_groups(&w.log);
+            let outdone = |i: usize, key: &str| last.get(key).is_some_and(|l| *l > i);
+            let log = w.log.iter().enumerate().filter(|(i, l)| l.write.as_ref().is_none_or(|key| !outdone(*i, key)));
+            let changes = log.filter_map(|(_, l)| match (&l.write, &l.remove) {
                 (Some(key), _) => change(key, l.value, l.stamp),
                 (None, Some(key)) => change(key, None, l.stamp),
                 _ => None,
@@ -322,3 +339,42 @@
         _ => Err(CallError::Unknown),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::bookkeeping::view::{Touched, View};
+
+    /// Only groups may be passed over: without the record that was cancelled the copy would take the job for done.
+    #[test]
+    fn of_an_answer_with_many_changes_groups_are_read_once_and_jobs_each_time() {
+        let spec = serde_json::json!({"nameId": "req-000007", "lane": "x", "crew": "free", "shape": "sweep",
+            "urgency": "high", "pieces": 2, "cores": 1.0, "accelerators": 0, "memGb": 1.0, "bundle": "i", "sizeGb": 0.1,
+            "oneZone": false, "apart": false, "loaners": true, "guessS": 1.0, "bookmarkS": 0, "stashS": 0});
+        let (id, spec) = crate::protocol::user::parse_submission(spec.to_string().as_bytes()).unwrap();
+        let record = |cancelled| {
+            let plain = serde_json::json!({"s": serde_json::to_value(&spec).unwrap(), "t": 0, "x": cancelled});
+            plain
+        };
+        let group =
+            |m: u64| serde_json::json!({"k": [["small", "a", 1, null]], "i": [], "a": [], "m": [[m, 0, 0, 0, 0]]});
+        let log = serde_json::json!([
+            {"write": "c/group/0/0", "value": group(1), "stamp": 11},
+            {"write": "c/job/7", "value": record(false), "stamp": 12},
+            {"write": "c/group/0/1", "value": group(3), "stamp": 13},
+            {"write": "c/job/7", "value": record(true), "stamp": 14},
+            {"remove": "c/group/0/1", "stamp": 15},
+            {"write": "c/group/0/0", "value": group(2), "stamp": 16},
+            {"remove": "c/job/7", "stamp": 17},
+        ]);
+        let body = serde_json::json!({"epoch": 17, "log": log}).to_string();
+        let request = StateRequest::Changes { after: 10, wait: Micros::ZERO };
+        let Ok(StateReply::Changes(changes, 17)) = parse(&request, 200, body.as_bytes()) else { panic!("no changes") };
+        let stamps: Vec<u64> = changes.iter().map(|c| c.stamp).collect();
+        assert_eq!(stamps, [12, 14, 15, 16, 17]);
+        let (mut view, mut touched) = (View::default(), Touched::default());
+        view.apply(changes, &mut touched);
+        assert_eq!(view.machines().map(|(_, m, _)| m.0).collect::<Vec<_>>(), [2]);
+        assert!(matches!(&touched.ended[..], [ended] if ended.job == id && ended.how.is_some_and(|f| f.cancelled)));
+    }
+}
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -2,32 +2,43 @@
 
 use crate::bookkeeping::time::Micros;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::Request;
+use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_TYPE;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use std::time::Duration;
+use thiserror::Error;
 use tokio::sync::Semaphore;
 
-/// Largest body that is read of the cloud and the state service: a watch's answer has no limit of
-/// its own, and what is larger than this is read anew in pages.
-const BODY_LIMIT: usize = 6 * 1024 * 1024;
-
 /// The client.
 #[derive(Debug)]
 pub struct HttpClient {
     inner: Client<HttpConnector, Full<Bytes>>,
     calls: Semaphore,
+    /// Largest body that is read, in bytes.
+    body_limit: usize,
 }
 
 /// What came back: status and body.
-pub type Answer = (u16, Bytes);
+pub type Answer = (u16, Vec<u8>);
+
+/// Why nothing came back that can be used.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// None within the time, or the connection failed.
+    #[error("no answer")]
+    None,
+    /// There was one, with a larger body than is read.
+    #[error("the answer is too large")]
+    TooLarge,
+}
 
 impl HttpClient {
-    /// A client that has at most `sockets` calls under way.
-    pub fn new(sockets: usize) -> HttpClient {
+    /// A client that has at most `sockets` calls under way and reads bodies of at most `body_limit` bytes.
+    pub fn new(sockets: usize, body_limit: usize) -> HttpClient {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
@@ -36,10 +47,10 @@
             .pool_idle_timeout(Duration::from_secs(20))
             .pool_max_idle_per_host(4)
             .build(connector);
-        HttpClient { inner, calls: Semaphore::new(sockets) }
+        HttpClient { inner, calls: Semaphore::new(sockets), body_limit }
     }
 
-    /// Sends a request; `None` if there was no answer within `limit`.
+    /// Sends a request, and waits for its answer for at most `limit`.
     pub async fn call(
         &self,
         host: &str,
@@ -47,20 +58,37 @@
         path: &str,
         body: Vec<u8>,
         limit: Micros,
-    ) -> Option<Answer> {
-        let _permit = self.calls.try_acquire().ok()?;
+    ) -> Result<Answer, NoAnswer> {
+        let _permit = self.calls.try_acquire().map_err(|_| NoAnswer::None)?;
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{host}{path}"))
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
-            .ok()?;
+            .map_err(|_| NoAnswer::None)?;
         let exchange = async {
-            let response = self.inner.request(request).await.ok()?;
+            let response = self.inner.request(request).await.map_err(|_| NoAnswer::None)?;
             let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), BODY_LIMIT).collect().await.ok()?;
-            Some((status, body.to_bytes()))
+            Ok((status, read(response.into_body(), self.body_limit).await?))
         };
-        tokio::time::timeout(Duration::from_micros(limit.0), exchange).await.ok().flatten()
+        tokio::time::timeout(Duration::from_micros(limit.0), exchange).await.unwrap_or(Err(NoAnswer::None))
+    }
+}
+
+/// Reads a body into one piece of memory, unless it is larger than `limit`: one whose length is told beforehand is not
+/// begun then.
+async fn read(mut body: Incoming, limit: usize) -> Result<Vec<u8>, NoAnswer> {
+    let told = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if told > limit {
+        return Err(NoAnswer::TooLarge);
+    }
+    let mut whole = Vec::with_capacity(told);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| NoAnswer::None)?.into_data() else { continue };
+        if whole.len() + data.len() > limit {
+            return Err(NoAnswer::TooLarge);
+        }
+        whole.extend_from_slice(&data);
     }
+    Ok(whole)
 }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -1,6 +1,6 @@
 //! Drives the controller: hands it events, carries out its effects.
 
-use super::client::HttpClient;
+use super::client::{HttpClient, NoAnswer};
 use super::clock::Clock;
 use crate::bookkeeping::ids::JobId;
 use crate::coordination::{CallId, Controller, Effect, Event};
@@ -38,7 +38,7 @@
         Arc::new(Node {
             inner: Mutex::new(Inner { controller, users: HashMap::new(), next_call: 1 }),
             timer: Notify::new(),
-            client: HttpClient::new(settings.connections / 4),
+            client: HttpClient::new(settings.connections / 4, settings.body_limit()),
             clock: Clock::start(),
             cloud: settings.cloud.to_string(),
             state: settings.state.to_string(),
@@ -142,8 +142,9 @@
                         let (method, path, body) = state::http(&request);
                         let answer = node.client.call(&node.state, method, &path, body, limit).await;
                         let result = match answer {
-                            Some((status, body)) => state::parse(&request, status, &body),
-                            None => Err(CallError::Unknown),
+                            Ok((status, body)) => state::parse(&request, status, &body),
+                            Err(NoAnswer::TooLarge) => Err(CallError::TooLarge),
+                            Err(NoAnswer::None) => Err(CallError::Unknown),
                         };
                         node.post(Event::State(call, result));
                     });
@@ -154,8 +155,8 @@
                         let (method, path, body) = cloud::http(&request);
                         let answer = node.client.call(&node.cloud, method, &path, body, limit).await;
                         let result = match answer {
-                            Some((status, body)) => cloud::parse(&request, status, &body),
-                            None => Err(CallError::Unknown),
+                            Ok((status, body)) => cloud::parse(&request, status, &body),
+                            Err(_) => Err(CallError::Unknown),
                         };
                         node.post(Event::Cloud(call, result));
                     });
@@ -167,6 +168,7 @@
                         // Any other status comes from a worker that has not carried it out either,
                         // but without a report nothing is known of it.
                         let result = answer
+                            .ok()
                             .filter(|(status, _)| matches!(status, 200 | 409))
                             .and_then(|(status, body)| Some((status == 200, Report::parse(&body)?)));
                         node.post(Event::Direct(call, result));
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -59,7 +59,13 @@
         if let Ok(Ok(stream)) = stream {
             let _ = stream.set_nodelay(true);
             let mut frames = framed(stream);
-            while hints.changed().await.is_ok() {
+            loop {
+                // A peer says nothing here. That the connection is over is heard only by listening: who was away for
+                // long would go on writing into one that the peer has given up meanwhile.
+                tokio::select! {
+                    changed = hints.changed() => if changed.is_err() { break },
+                    _ = frames.next() => break,
+                }
                 let hint = hints.borrow_and_update().clone();
                 let Some(Ok(frame)) = hint.map(|h| rmp_serde::to_vec(&h)) else {
                     continue;
--- a/tests/production.rs
+++ b/tests/production.rs
@@ -102,12 +102,12 @@
             let theirs = by_production(&key, &text).unwrap_or_else(|| panic!("{key}: {text}"));
             let mut ours = by_this(&key, &text).unwrap_or_else(|| value.clone());
             // What production does not know it drops from these, which nobody else writes again.
-            let dropped = match key {
-                Key::Node(_) => "v",
-                Key::Final(_) => "t",
-                _ => "",
+            let dropped: &[&str] = match key {
+                Key::Node(_) => &["v", "s"],
+                Key::Final(_) => &["t"],
+                _ => &[],
             };
-            ours.as_object_mut().map(|o| o.remove(dropped));
+            ours.as_object_mut().into_iter().for_each(|o| o.retain(|name, _| !dropped.contains(&name.as_str())));
             assert_eq!(theirs, ours, "{key}");
             read += 1;
         }
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -452,7 +452,11 @@
                     return;
                 }
                 let none = || Err(CallError::Unknown);
+                let most = (self.script.body_kb * 1024.0) as usize;
                 let event = match ask {
+                    Ask::State(_) if answer.as_ref().is_some_and(|(_, b)| b.len() > most) => {
+                        Event::State(call, Err(CallError::TooLarge))
+                    }
                     Ask::State(r) => {
                         Event::State(call, answer.map_or_else(none, |(s, b)| state_wire::parse(&r, s, &b)))
                     }
@@ -571,9 +575,9 @@
     }
 
     fn crash(&mut self, n: usize, down: u64) {
-        if let Some(node) = self.nodes[n].take() {
-            self.tally(node.controller.counters());
-        }
+        // One that is down already comes back when it was to.
+        let Some(node) = self.nodes[n].take() else { return };
+        self.tally(node.controller.counters());
         self.at(self.now + down, Happening::Restart(n));
     }
 
@@ -581,6 +585,9 @@
         self.counters.clashes += x.clashes;
         self.counters.commits += x.commits;
         self.takeovers += x.takeovers;
+        self.counters.absences += x.absences;
+        self.counters.silenced += x.silenced;
+        self.counters.unneeded += x.unneeded;
     }
 
     fn step(&mut self, i: usize) {
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -193,6 +193,19 @@
     StartsBy(u64, u64),
     /// So many rounds clashed, at least.
     ManyClashes(u64),
+    /// So many controllers own slices at the end.
+    Owners(usize),
+    /// So many times some controller did not run for a while.
+    Absences(u64),
+    /// Sessions that were declared over for silence, and machines to be returned for want of work, at most.
+    FewSilenced(u64),
+    FewUnneeded(u64),
+    /// Of a class's or team's jobs, this share was done within the time of their submission.
+    Served {
+        name: String,
+        within: u64,
+        share: f64,
+    },
     /// Of the polls, this share was answered with a state, or that there is no such job.
     Polled(f64),
 }
@@ -221,6 +234,8 @@
     pub cancel: f64,
     pub lag: f64,
     pub value_kb: f64,
+    /// Largest answer that controllers read, in KiB.
+    pub body_kb: f64,
     pub slices: Option<usize>,
     /// Requests and changes a second that the state service takes.
     pub rates: (f64, f64),
@@ -306,6 +321,7 @@
             cancel: 35.0,
             lag: 4.0,
             value_kb: 16.0,
+            body_kb: 6144.0,
             slices: None,
             rates: (120.0, 60.0),
             next: None,
@@ -358,6 +374,7 @@
             "grace" => self.grace = w.word(1, real)?,
             "with" => self.with = Some(w.word(1, |t| Some(t.to_owned()))?),
             "lag" => self.lag = w.word(1, real)?,
+            "body_kb" => self.body_kb = w.word(1, real)?,
             "value_kb" => self.value_kb = w.word(1, real)?,
             "slices" => self.slices = Some(w.word(1, whole)? as usize),
             "rates" => {
@@ -437,6 +454,15 @@
                         within: w.need("within", micros)?,
                         share: w.need("share", real)?,
                     },
+                    "owners" => Expect::Owners(w.word(2, whole)? as usize),
+                    "absences" => Expect::Absences(w.word(2, whole)?),
+                    "silenced-at-most" => Expect::FewSilenced(w.word(2, whole)?),
+                    "unneeded-at-most" => Expect::FewUnneeded(w.word(2, whole)?),
+                    "served" => Expect::Served {
+                        name: w.word(2, |t| Some(t.to_owned()))?,
+                        within: w.need("within", micros)?,
+                        share: w.need("share", real)?,
+                    },
                     "starts-at-most" => Expect::Starts(w.word(2, job)?, w.need("count", whole)?),
                     "done-by" => Expect::DoneBy(w.word(2, job)?, w.need("at", micros)?),
                     "requests-at-most" => Expect::Requests(w.word(2, whole)?),
@@ -457,7 +483,8 @@
                     let mut step = step.clone();
                     match &mut step {
                         Step::Submit { job, .. } => *job += i,
-                        _ if times > 1 => return Err("only submissions come several times".to_owned()),
+                        Step::Crash { .. } => {}
+                        _ if times > 1 => return Err("only submissions and crashes come several times".to_owned()),
                         _ => {}
                     }
                     self.steps.push((at + i * every, step));
--- a/tests/runner/verdict.rs
+++ b/tests/runner/verdict.rs
@@ -77,19 +77,30 @@
                 Expect::DoneBy(j, at) => self.check.done_at(*j).is_some_and(|t| t <= *at),
                 Expect::Requests(n) => self.state.came.0 <= *n,
                 Expect::Changes(n) => self.state.came.1 <= *n,
+                Expect::Owners(n) => {
+                    let all: BTreeSet<&str> =
+                        self.state.values("c/own/").filter_map(|(_, v)| v["node"].as_str()).collect();
+                    all.len() >= *n
+                }
+                Expect::Absences(n) => self.counters.absences >= *n,
+                Expect::FewSilenced(n) => self.counters.silenced <= *n,
+                Expect::FewUnneeded(n) => self.counters.unneeded <= *n,
+                Expect::Served { name, within, share } => self.served(name, *within) >= *share,
                 Expect::Polled(share) => self.check.polls.1 as f64 >= self.check.polls.0 as f64 * share,
                 Expect::FewerMachines(n) => self.cloud.hosts.len() as u64 <= *n,
             };
             if !good {
                 bad.push(format!(
                     "expected {e:?}; open: {:?}, clashes {}, takeovers {}, lost leases {}, hosts {}, groups {}, \
-                     without a record {unrecorded}, refused {}, largest {:?}, state {:?}, polls {:?}, starts {:?}, urgent in 2 s {:.3}, done {:?}",
+                     without a record {unrecorded}, absences, silenced, unneeded {:?}, \
+                     refused {}, largest {:?}, state {:?}, polls {:?}, starts {:?}, urgent in 2 s {:.3}, done {:?}",
                     self.check.open(),
                     self.counters.clashes,
                     self.takeovers,
                     self.lost_leases,
                     self.cloud.hosts.len(),
                     self.most_groups,
+                    (self.counters.absences, self.counters.silenced, self.counters.unneeded),
                     self.state.refused,
                     self.state.largest(),
                     self.state.came,
@@ -98,6 +109,10 @@
                     self.started_in_time("urgent", 2_000_000),
                     self.check.done(),
                 ));
+                let names: BTreeSet<&str> = self.check.asked.values().flat_map(|a| [&*a.lane, &*a.team]).collect();
+                let shares = |n: &str| [60, 120, 240].map(|s| (self.served(n, s * 1_000_000) * 1e3).round() / 1e3);
+                let served: BTreeMap<&str, _> = names.into_iter().map(|n| (n, shares(n))).collect();
+                bad.push(format!("served within 60, 120 and 240 s: {served:?}"));
                 let told = (&self.check.refusals, &self.check.reasons, &self.check.first_start);
                 bad.push(format!("refusals, reasons, first starts: {told:?}"));
             }
@@ -117,6 +132,20 @@
         good as f64 / f64::from(all.max(1))
     }
 
+    /// Of the jobs of a class or a team that were not cancelled, the share that was done within some time.
+    fn served(&self, name: &str, within: u64) -> f64 {
+        let wanted = self.check.asked.iter().filter(|(j, a)| {
+            (a.lane == name || a.team == name) && self.check.is_accepted(**j) && !self.check.is_cancelled(**j)
+        });
+        let (mut all, mut good) = (0, 0);
+        for (job, _) in wanted {
+            all += 1;
+            let came = self.check.submitted.get(job).copied().unwrap_or(0);
+            good += u32::from(self.check.done_at(*job).is_some_and(|t| t.saturating_sub(came) <= within));
+        }
+        f64::from(good) / f64::from(all.max(1))
+    }
+
     /// How many tasks were started.
     pub fn started(&self) -> u64 {
         self.check.started
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -4,11 +4,11 @@
 use cometlead::coordination::Controller;
 use cometlead::protocol::operator::OperatorSettings;
 use cometlead::protocol::settings::Settings;
-use cometlead::transport::client::HttpClient;
+use cometlead::transport::client::{HttpClient, NoAnswer};
 use cometlead::transport::node::Node;
 use cometlead::transport::{peers, server};
 use serde_json::json;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -94,17 +94,62 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap().to_string();
     let silent = tokio::spawn(async move { listener.accept().await });
-    let client = HttpClient::new(1);
+    let client = HttpClient::new(1, 1_000);
     let first = client.call(&at, "GET", "/", Vec::new(), Micros::millis(200));
     // The one socket that it may use is taken: a further call fails at once.
     let second = async {
         tokio::task::yield_now().await;
         client.call(&at, "GET", "/", Vec::new(), Micros::secs(3_600)).await
     };
-    assert_eq!(tokio::join!(first, second), (None, None));
+    assert_eq!(tokio::join!(first, second), (Err(NoAnswer::None), Err(NoAnswer::None)));
     silent.abort();
 }
 
+/// An answer that is larger than is read must be told from none at all: asked for again it would only grow.
+#[tokio::test]
+async fn too_large_an_answer_is_told_from_none() {
+    let body = "x".repeat(450);
+    let told = format!("content-length: 900\r\n\r\n{body}{body}");
+    // Without a length beforehand it is found out on the way.
+    let untold = format!("transfer-encoding: chunked\r\n\r\n1c2\r\n{body}\r\n1c2\r\n{body}\r\n0\r\n\r\n");
+    for (rest, limit, expected) in [
+        (&told, 900, Ok((200, format!("{body}{body}").into_bytes()))),
+        (&told, 899, Err(NoAnswer::TooLarge)),
+        (&untold, 900, Ok((200, format!("{body}{body}").into_bytes()))),
+        (&untold, 899, Err(NoAnswer::TooLarge)),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap().to_string();
+        let answer = format!("HTTP/1.1 200 OK\r\n{rest}");
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 1024]).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+            stream
+        });
+        let got = HttpClient::new(1, limit).call(&at, "GET", "/", Vec::new(), Micros::secs(60)).await;
+        assert_eq!(got, expected, "{limit}");
+        server.abort();
+    }
+}
+
+/// A peer that gave a connection up while this process was away keeps it half open: without listening on it all further
+/// hints would be written into it, and the peer would go without them.
+#[tokio::test]
+async fn a_connection_that_the_peer_has_given_up_is_made_anew() {
+    let (back0, nowhere) = (free_address().await, free_address().await);
+    let peer = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let SocketAddr::V4(at) = peer.local_addr().unwrap() else { panic!("IPv4") };
+    let s0 = settings("n0", nowhere, back0, at, nowhere);
+    let n0 = Node::new(Controller::new(Arc::clone(&s0), OperatorSettings::default(), 7), &s0);
+    tokio::spawn(peers::tell(Arc::clone(&n0), at));
+    tokio::spawn(Arc::clone(&n0).run());
+    let (mut first, _) = peer.accept().await.unwrap();
+    first.shutdown().await.unwrap();
+    let (mut second, _) = peer.accept().await.unwrap();
+    assert!(second.read(&mut [0; 8]).await.unwrap() > 0, "no hint on the new connection");
+}
+
 #[tokio::test]
 async fn peers_hear_of_each_other() {
     let (back0, back1, nowhere) = (free_address().await, free_address().await, free_address().await);
