--- a/src/coordination/rounds/asks.rs
+++ b/src/coordination/rounds/asks.rs
@@ -141,7 +141,7 @@
             .filter(|b| !r.preempted.contains(b) && drafted.is_some_and(|d| d.tasks.contains(b)))
             .filter_map(|b| {
                 let id = b.attempt().task.job;
-                let job = self.view.jobs.get(&id).filter(|j| !self.is_shielded(j, floors))?;
+                let job = self.view.jobs.get(&id).filter(|_| !floors.shields(id))?;
                 let k = self.view.job_slice(id, job.spec());
                 let team = self.cfg.team(&job.spec().crew);
                 let borrowed = team.is_some_and(|t| {
