Zones: asked at once, shunned once lost, hired for where work would be late

Cause: a zone in doubt was given no work for every long silence by chance, and a fleet's owner returned its machines one by one while the questions were still out; room was hired ahead for work that had time.

Change: doubt only asks and holds releases back; loss shuns. What is hired ahead is what would be late after leases and a boot.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -294,7 +294,7 @@
         let catalog = &catalog;
         let none_left = &self.fleet.none_left;
         let offered =
-            |o: &Offer| !self.zones.is_shunned(&o.yard) && none_left.get(o).is_none_or(|(until, _)| *until <= now);
+            |o: &Offer| !self.zones.is_lost(&o.yard) && none_left.get(o).is_none_or(|(until, _)| *until <= now);
         let class_of = |o: &Offer| self.class_of_offer(&o.build, &o.yard, o.spot);
         let hires = plan(catalog, &demands, &mut self.pools(catalog), &offered, &class_of);
         drop(demands);
--- a/src/coordination/fleet/returns.rs
+++ b/src/coordination/fleet/returns.rs
@@ -43,8 +43,8 @@
                     let lost = *self.fleet.lost.get(&m).unwrap_or(&now);
                     seen_lost.insert(m, lost);
                     let quiet = now.since(lost);
-                    // Of a zone that is lost it is decided for all together.
-                    let pressed = if self.zones.is_lost(&r.yard) {
+                    // Of a zone that is lost it is decided for all together; of one that may be, in a moment.
+                    let pressed = if self.zones.is_in_doubt(&r.yard) {
                         worth.contains(&m)
                     } else {
                         r.tasks.iter().any(|b| self.pressed(b.attempt().task.job))
--- a/src/coordination/zones.rs
+++ b/src/coordination/zones.rs
@@ -32,9 +32,9 @@
 }
 
 impl Zones {
-    /// Whether the zone is not to get new work or new machines.
-    pub fn is_shunned(&self, yard: &str) -> bool {
-        self.all.get(yard).is_some_and(Zone::is_shunned)
+    /// Whether the zone may be lost, or seems to be.
+    pub fn is_in_doubt(&self, yard: &str) -> bool {
+        self.all.get(yard).is_some_and(Zone::is_in_doubt)
     }
 
     /// Whether the zone seems to be cut off or dead.
@@ -97,7 +97,7 @@
                 self.rounds.look();
                 self.fleet.look();
             }
-            if zone.is_shunned() {
+            if zone.is_in_doubt() {
                 w.silent.sort_unstable();
                 ask.extend(w.silent.iter().take(Zone::ASKED).map(|(_, m)| *m));
             }
@@ -156,13 +156,17 @@
         }
     }
 
-    /// Of jobs with tasks on machines of lost zones, how many each has there: room is hired for them elsewhere ahead of
-    /// the proof that they are gone.
+    /// Of jobs with tasks on machines of lost zones that would be late if they waited for the leases there and then for a
+    /// boot, how many each has there: room is hired for these elsewhere ahead of the proof that they are gone. What has
+    /// more time may still come back, or finds what others have left.
     pub(super) fn lost_with_zones(&self) -> HashMap<JobId, u64> {
         let mut lost = HashMap::new();
         if !self.zones.any_lost() {
             return lost;
         }
+        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let boot = types.map(|t| self.expected_boot(&t.name)).max().unwrap_or_default();
+        let by = self.now.day + self.cfg.lease + boot;
         for (_, _, r) in self.view.machines() {
             if r.fitness == Fitness::Lost && self.zones.is_lost(&r.yard) {
                 for b in &r.tasks {
@@ -170,6 +174,7 @@
                 }
             }
         }
+        lost.retain(|id, _| self.view.jobs.get(id).is_some_and(|j| !j.cancelled() && self.latest_start(j) < by));
         lost
     }
 
@@ -185,7 +190,7 @@
         let mut room = 0;
         let mut lost = Vec::new();
         for (_, m, r) in self.view.machines() {
-            if r.fitness == Fitness::Up && !self.zones.is_shunned(&r.yard) {
+            if r.fitness == Fitness::Up && !self.zones.is_in_doubt(&r.yard) {
                 room += self.view.free(r).cores;
             } else if r.fitness == Fitness::Releasing && self.zones.is_lost(&r.yard) {
                 // What is on its way back already will want its room, too.
