--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -13,6 +13,10 @@
 use thiserror::Error;
 use tokio::sync::Semaphore;
 
+/// How long a connection is kept that nothing uses. After a takeover by one controller of all slices there is one for each
+/// machine that it commands, beside the one by which that reports.
+const IDLE: Duration = Duration::from_secs(6);
+
 /// The client.
 #[derive(Debug)]
 pub struct HttpClient {
@@ -44,7 +48,7 @@
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(20))
+            .pool_idle_timeout(IDLE)
             .pool_max_idle_per_host(4)
             .build(connector);
         HttpClient { inner, calls: Semaphore::new(sockets), body_limit }
