Zones: hired ahead only for what finds no room by the end of the leases

Change: less is hired by what is free, and by what can end until then, beyond what waits and what came in lately.

--- a/src/coordination/zones.rs
+++ b/src/coordination/zones.rs
@@ -175,9 +175,50 @@
             }
         }
         lost.retain(|id, _| self.view.jobs.get(id).is_some_and(|j| !j.cancelled() && self.latest_start(j) < by));
+        // Before the leases are over nothing of it can be booked, and by then others end. What has the most time left
+        // finds its room there.
+        let mut room = self.room_by_the_end_of_leases();
+        let mut order: Vec<_> =
+            lost.keys().filter_map(|id| Some((self.latest_start(self.view.jobs.get(id)?), *id))).collect();
+        order.sort_unstable();
+        for (_, id) in order.into_iter().rev() {
+            let each = self.view.need(id).cores.max(1);
+            if let Some(tasks) = lost.get_mut(&id) {
+                let placed = (*tasks).min(room / each);
+                room -= placed * each;
+                *tasks -= placed;
+            }
+        }
         lost
     }
 
+    /// Cores that are free outside lost zones by when leases that run now are over, as far as can be told: what is free,
+    /// and the part of what runs that ends until then, less what waits and as much as came in as long a time before.
+    fn room_by_the_end_of_leases(&self) -> u64 {
+        let lease = self.cfg.lease;
+        let mut room = 0;
+        for (_, _, r) in self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up) {
+            room += self.view.free(r).cores;
+            for job in r.tasks.iter().filter_map(|b| self.view.jobs.get(&JobId(b.0))) {
+                let spec = job.spec();
+                // When it began is not on record, but it was not before it was submitted.
+                if self.now.day.since(job.record.submitted) + lease < spec.guess {
+                    continue;
+                }
+                let ends = lease.0.min(spec.guess.0) as u128;
+                room += (u128::from(spec.need.cores) * ends / u128::from(spec.guess.0.max(1))) as u64;
+            }
+        }
+        let mut taken = 0;
+        for (id, job) in self.view.jobs.iter().filter(|(_, j)| !j.cancelled()) {
+            let spec = job.spec();
+            let came = self.now.day.since(job.record.submitted) < lease;
+            let tasks = if came { spec.pieces } else { self.view.pending_count(*id, job) };
+            taken += u64::from(tasks) * spec.need.cores;
+        }
+        room.saturating_sub(taken)
+    }
+
     /// Which machines of lost zones are worth releasing for their tasks: those with the most pressing ones first, as long
     /// as there is room elsewhere in which these could start. A release beyond that proves what nobody can use yet, and
     /// the machine may come back with its work done.
