Tidying: machines that are up, known types and counts of bookings are asked for in one place

Read once more: the same filter for machines that are up stood in seven places, the walk over known types in seven, the count of a job's bookings in four; lost zones were looked up three ways, and served work kept two maps for one. A wait that was never set is gone. No change of behaviour.

--- a/src/bookkeeping/shares.rs
+++ b/src/bookkeeping/shares.rs
@@ -56,12 +56,6 @@
         .collect()
 }
 
-/// How much each may take ahead of its turn.
-#[cfg(test)]
-fn left_behind(room: u64, parts: &[Part]) -> Vec<u64> {
-    dues(room, parts).into_iter().map(|d| d.ahead).collect()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -72,6 +66,11 @@
         Part { booked, waiting, late }
     }
 
+    /// How much each may take ahead of its turn.
+    fn left_behind(room: u64, parts: &[Part]) -> Vec<u64> {
+        dues(room, parts).into_iter().map(|d| d.ahead).collect()
+    }
+
     #[test]
     fn room_is_shared_evenly_by_those_who_want_more_than_their_part() {
         let parts = [part(10, 0, false), part(0, 500, false), part(900, 500, false)];
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -14,8 +14,8 @@
 pub use super::live::{Job, Stamped};
 use super::pipeline::{Graph, Stage};
 use super::records::{
-    Booking, FENCED, FIRST_LAYOUT, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord, OwnRecord,
-    TERSE, UsageRecord,
+    Booking, FENCED, FIRST_LAYOUT, Fitness, FleetRecord, GroupRecord, Key, MachineRecord, MetaRecord, NodeRecord,
+    OwnRecord, TERSE, UsageRecord,
 };
 use super::time::Micros;
 use cometlead_constraints::RuleSet;
@@ -210,6 +210,11 @@
         (0..self.groups.len()).flat_map(|k| self.machines_of(k).map(move |(m, r)| (k, m, r)))
     }
 
+    /// Those of them that take bookings.
+    pub fn machines_up(&self) -> impl Iterator<Item = (MachineId, &MachineRecord)> {
+        self.machines().filter(|(_, _, r)| r.fitness == Fitness::Up).map(|(_, m, r)| (m, r))
+    }
+
     /// The machines of a slice.
     pub fn machines_of(&self, k: Slice) -> impl Iterator<Item = (MachineId, &MachineRecord)> {
         self.groups
@@ -272,6 +277,11 @@
         self.pipelines.learn(id, end, &mut self.jobs, &mut touched.jobs);
     }
 
+    /// All types that are known.
+    pub fn machine_types(&self) -> impl Iterator<Item = &MachineType> {
+        self.types.value.iter().flat_map(|c| &c.types)
+    }
+
     /// The type of this name.
     pub fn machine_type(&self, name: &str) -> Option<&MachineType> {
         self.types.value.as_ref()?.get(name)
@@ -282,6 +292,11 @@
         self.booked.get(&job)
     }
 
+    /// How many tasks of a job are booked.
+    pub fn booked_count(&self, job: JobId) -> u32 {
+        self.booked(job).map_or(0, |b| b.len() as u32)
+    }
+
     /// Where a task is booked.
     pub fn place(&self, task: TaskId) -> Option<Place> {
         self.booked.get(&task.job)?.get(&task.index).copied()
@@ -309,8 +324,7 @@
 
     /// How many tasks of a job are neither finished nor booked.
     pub fn pending_count(&self, id: JobId, job: &Job) -> u32 {
-        let booked = self.booked.get(&id).map_or(0, |b| b.len() as u32);
-        job.record.spec.pieces.saturating_sub(job.done() + booked)
+        job.record.spec.pieces.saturating_sub(job.done() + self.booked_count(id))
     }
 
     /// The revision of a key as the copy knows it.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -253,7 +253,7 @@
     fn pools<'a>(&'a self, catalog: &Catalog) -> Pools<'a> {
         let mut pools = Pools::default();
         let ruled = self.rules.active();
-        for (_, m, r) in self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up) {
+        for (m, r) in self.view.machines_up() {
             // Half of what is booked is over, on the average.
             let work = r
                 .tasks
@@ -358,7 +358,7 @@
                 ages.entry(&k.build).or_default().push(now.since(k.since));
             }
         }
-        for t in view.types.value.iter().flat_map(|c| &c.types) {
+        for t in view.machine_types() {
             let waiting = ages.remove(t.name.as_str()).unwrap_or_default();
             let expected = self.fleet.boots.expected(&t.name, t.boot, now, waiting.into_iter());
             let known = self.fleet.expected.entry(t.name.clone()).or_insert((t.boot, t.boot));
--- a/src/coordination/fleet/returns.rs
+++ b/src/coordination/fleet/returns.rs
@@ -13,7 +13,7 @@
     /// How long a machine is kept without work: as long as its next boot would take, a dear one
     /// only for a moment. Less than the shortest charge is never saved.
     fn idle_limit(&self, build: &str, spot: bool) -> Micros {
-        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let types = self.view.machine_types();
         let cheapest = types.map(|t| core_price(t, true).min(core_price(t, false))).min().unwrap_or(0);
         let derived = match self.view.machine_type(build) {
             Some(t) if core_price(t, spot) > cheapest * 3 / 2 => Micros::secs(5),
--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -5,7 +5,6 @@
 //! lease would; whoever claims its slices begins new terms as after a crash.
 
 use super::{Controller, Effect, Purpose};
-use crate::bookkeeping::records::Fitness;
 use crate::bookkeeping::time::Micros;
 use crate::protocol::worker::direct_body;
 
@@ -104,7 +103,7 @@
         if !self.quiet() {
             return;
         }
-        let machines = self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up).count();
+        let machines = self.view.machines_up().count();
         let sure = self.reach.failed >= Self::ENQUIRIES.min(machines.max(1));
         if sure && self.peers_hear() && self.contact_age() < Micros::secs(4) {
             self.withdraw();
@@ -120,8 +119,8 @@
         if self.reach.asking > 0 || now < self.reach.next_ask {
             return;
         }
-        let up = self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up);
-        let endpoints: Vec<_> = up.filter_map(|(_, _, r)| r.endpoint).collect();
+        let up = self.view.machines_up();
+        let endpoints: Vec<_> = up.filter_map(|(_, r)| r.endpoint).collect();
         if endpoints.is_empty() {
             return;
         }
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -233,7 +233,6 @@
         tracing::info!(epoch = self.view.epoch, why, "the copy is too old, reading everything anew");
         self.lose_all_tenures();
         self.reader.phase = Phase::Empty;
-        self.reader.retry = self.now.steady;
     }
 
     /// Whether the copy is so far behind that an answer with all changes since may be large: then there is one read at
--- a/src/coordination/rounds/asks.rs
+++ b/src/coordination/rounds/asks.rs
@@ -25,8 +25,8 @@
         let mut asks: Vec<Ask<'a>> = Vec::new();
         let mut wanted = 0;
         let mut left: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
-        let up = self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up);
-        let kinds: BTreeSet<(&str, &str, bool)> = up.map(|(_, _, r)| (&*r.build, &*r.yard, r.spot)).collect();
+        let kinds: BTreeSet<(&str, &str, bool)> =
+            self.view.machines_up().map(|(_, r)| (&*r.build, &*r.yard, r.spot)).collect();
         for Turn { id, job, most: in_turn, ahead } in turns {
             if wanted >= Self::CLAIMS {
                 break;
--- a/src/coordination/rounds/drafting.rs
+++ b/src/coordination/rounds/drafting.rs
@@ -141,7 +141,7 @@
 
     /// Bytes that machines take when they are full, by type.
     fn full_sizes(&self) -> BTreeMap<String, usize> {
-        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let types = self.view.machine_types();
         types.map(|t| (t.name.clone(), self.full_bytes(&t.name))).collect()
     }
 
--- a/src/coordination/rounds/floors.rs
+++ b/src/coordination/rounds/floors.rs
@@ -2,7 +2,6 @@
 //! [`crate::bookkeeping::shares`]. All controllers work it out alike.
 
 use crate::bookkeeping::ids::JobId;
-use crate::bookkeeping::records::Fitness;
 use crate::bookkeeping::shares::{Due, Part, dues};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::Job;
@@ -69,7 +68,7 @@
         let mut floors = Floors::default();
         // A job that should have started before this is so late that machines hired for it would be up: the shortage
         // lasts. What is late and all booked counts as well: were it stopped, it would be late and wait again.
-        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let types = self.view.machine_types();
         let long_ago = self.now.day.since(types.map(|t| t.boot).max().unwrap_or(Micros::FOREVER));
         let is_late =
             |id: &JobId, j: &Job| j.ready() && self.latest_start(j) < long_ago && !self.rounds.is_suspect(*id);
@@ -80,7 +79,7 @@
         }
         let mut parts: BTreeMap<Kin<'a>, Part> = BTreeMap::new();
         for (id, job) in &self.view.jobs {
-            let booked = self.view.booked(*id).map_or(0, |b| b.len() as u64) * job.spec().need.cores;
+            let booked = u64::from(self.view.booked_count(*id)) * job.spec().need.cores;
             for k in Kin::of(job) {
                 parts.entry(k).or_default().booked += booked;
             }
@@ -101,8 +100,8 @@
                 part.waiting = part.waiting.min(limit.saturating_sub(part.booked));
             }
         }
-        let up = self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up);
-        let room = up.filter_map(|(_, _, r)| self.view.machine_type(&r.build)).map(|t| t.room.cores).sum();
+        let room =
+            self.view.machines_up().filter_map(|(_, r)| self.view.machine_type(&r.build)).map(|t| t.room.cores).sum();
         let (classes, teams): (Vec<_>, Vec<_>) = parts.into_iter().partition(|(k, _)| matches!(k, Kin::Class(_)));
         for kind in [classes, teams] {
             let (kin, parts): (Vec<Kin<'a>>, Vec<Part>) = kind.into_iter().unzip();
--- a/src/coordination/rounds/order.rs
+++ b/src/coordination/rounds/order.rs
@@ -19,7 +19,7 @@
         let ready = job.record.submitted.max(job.stage.ready_at);
         let due = spec.due.map_or_else(|| ready + self.finish_aim(spec), |d| job.record.submitted + d);
         let due = job.stage.wanted_by.map_or(due, |by| by.min(due));
-        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let types = self.view.machine_types();
         let fetch = types.filter(|t| spec.need.fits(&t.room)).map(|t| t.fetch_time(spec.size)).min();
         let start = due - (expected_run(spec) + fetch.unwrap_or_default());
         let aim = self.start_aim(spec).filter(|aim| *aim >= self.shortest_boot());
@@ -76,7 +76,7 @@
 
     /// The least time that a machine takes to come up: what may start later than that has time.
     fn shortest_boot(&self) -> Micros {
-        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let types = self.view.machine_types();
         types.map(|t| t.boot).min().unwrap_or(Micros::FOREVER)
     }
 
--- a/src/coordination/rules.rs
+++ b/src/coordination/rules.rs
@@ -11,7 +11,7 @@
 use crate::bookkeeping::ids::{JobId, MachineId, TaskId};
 use crate::bookkeeping::job::JobSpec;
 use crate::bookkeeping::placement;
-use crate::bookkeeping::records::{Booking, FENCED, FENCED_RULED, Fitness, Key, MachineRecord, is_ruled};
+use crate::bookkeeping::records::{Booking, FENCED, FENCED_RULED, Key, MachineRecord, is_ruled};
 use crate::bookkeeping::time::Micros;
 use crate::bookkeeping::view::{Job, View};
 use crate::protocol::state::{Put, StateRequest, Txn, encode};
@@ -242,7 +242,7 @@
     }
 
     fn up(&self) -> impl Iterator<Item = (MachineId, &MachineRecord)> {
-        self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up).map(|(_, m, r)| (m, r))
+        self.view.machines_up()
     }
 
     /// Classes of machines that are up or could be, and that a job's own fields and size let it use.
--- a/src/coordination/served.rs
+++ b/src/coordination/served.rs
@@ -7,10 +7,7 @@
 
 /// Counts by class and by team since this process has had a copy.
 #[derive(Debug, Default)]
-pub struct Served {
-    classes: BTreeMap<String, Count>,
-    teams: BTreeMap<String, Count>,
-}
+pub struct Served(BTreeMap<(&'static str, String), Count>);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
@@ -19,12 +16,18 @@
     waiting: u64,
 }
 
+/// A job's class and team, each with what it is.
+fn kin(lane: &str, crew: &str) -> [(&'static str, String); 2] {
+    [("class", lane.to_owned()), ("team", crew.to_owned())]
+}
+
 impl Served {
     /// A job has ended; what is not known to be done is not counted.
     pub fn note(&mut self, ended: &Ended) {
         if ended.how.is_some_and(|f| !f.cancelled) {
-            self.classes.entry(ended.lane.clone()).or_default().done += 1;
-            self.teams.entry(ended.crew.clone()).or_default().done += 1;
+            for of in kin(&ended.lane, &ended.crew) {
+                self.0.entry(of).or_default().done += 1;
+            }
         }
     }
 }
@@ -35,21 +38,19 @@
         if !self.owns(0) {
             return;
         }
-        let mut classes = self.served.classes.clone();
-        let mut teams = self.served.teams.clone();
+        let mut counts = self.served.0.clone();
         for (id, job) in &self.view.jobs {
             let spec = job.spec();
-            let running = self.view.booked(*id).map_or(0, |b| b.len() as u64);
+            let running = u64::from(self.view.booked_count(*id));
             let waiting = u64::from(self.view.pending_count(*id, job));
-            for count in [classes.entry(spec.lane.clone()).or_default(), teams.entry(spec.crew.clone()).or_default()] {
+            for of in kin(&spec.lane, &spec.crew) {
+                let count = counts.entry(of).or_default();
                 count.running += running;
                 count.waiting += waiting;
             }
         }
-        for (kind, counts) in [("class", classes), ("team", teams)] {
-            for (name, Count { done, running, waiting }) in counts {
-                tracing::info!(kind, name, jobs_done = done, tasks_booked = running, tasks_waiting = waiting, "served");
-            }
+        for ((kind, name), Count { done, running, waiting }) in counts {
+            tracing::info!(kind, name, jobs_done = done, tasks_booked = running, tasks_waiting = waiting, "served");
         }
         for (name, cores) in self.behind() {
             tracing::info!(name, cores, "left behind while others have more than half of their part: goes ahead");
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -176,7 +176,7 @@
     /// What a live job's user is told; nothing while it may be cancelled because of a job before it.
     fn live_answer(&self, id: JobId) -> Option<JobAnswer> {
         let job = self.view.jobs.get(&id)?;
-        let running = self.view.booked(id).map_or(0, |b| b.len() as u32);
+        let running = self.view.booked_count(id);
         if job.stage.doubtful {
             return None;
         }
--- a/src/coordination/zones.rs
+++ b/src/coordination/zones.rs
@@ -37,9 +37,14 @@
         self.all.get(yard).is_some_and(Zone::is_in_doubt)
     }
 
+    /// Since when the zone seems to be cut off or dead, if it does.
+    fn lost_since(&self, yard: &str) -> Option<Micros> {
+        self.all.get(yard).filter(|z| z.state() == State::Lost).map(Zone::since)
+    }
+
     /// Whether the zone seems to be cut off or dead.
     pub fn is_lost(&self, yard: &str) -> bool {
-        self.all.get(yard).is_some_and(|z| z.state() == State::Lost)
+        self.lost_since(yard).is_some()
     }
 
     /// Whether any zone is.
@@ -73,16 +78,12 @@
             return;
         }
         let report = self.cfg.report;
-        let heard: Vec<(Arc<str>, bool)> = words
-            .iter()
-            .map(|(yard, w)| {
-                (yard.clone(), w.machines > 0 && now.since(w.last) <= Zone::usual_silence(w.machines, report))
-            })
-            .collect();
+        let is_heard = |w: &Word| w.machines > 0 && now.since(w.last) <= Zone::usual_silence(w.machines, report);
+        let heard = words.values().filter(|w| is_heard(w)).count();
         let deaf = self.deaf();
         let mut ask = Vec::new();
         for (yard, w) in &mut words {
-            let others_heard = !deaf && heard.iter().any(|(y, heard)| y != yard && *heard);
+            let others_heard = !deaf && heard > usize::from(is_heard(w));
             let e = Evidence {
                 machines: w.machines,
                 quiet: now.since(w.last),
@@ -120,8 +121,7 @@
             let word = word.max(self.absence.back()).max(self.zones.since);
             w.machines += 1;
             w.last = w.last.max(word);
-            let zone = self.zones.all.get(&r.yard);
-            w.heard_again += usize::from(zone.is_some_and(|z| z.state() == State::Lost && word > z.since()));
+            w.heard_again += usize::from(self.zones.lost_since(&r.yard).is_some_and(|since| word > since));
             w.unanswered += usize::from(s.is_unreachable());
             if s.may_be_asked() {
                 w.silent.push((word, *m));
@@ -140,12 +140,10 @@
     /// each when its own silence shows: so they take no more work, and others may see what is lost. Whoever is heard is
     /// marked well again by its report.
     fn mark_lost_zones(&mut self) {
-        let zones = &self.zones;
-        let since = |yard: &str| zones.all.get(yard).filter(|z| z.state() == State::Lost).map(Zone::since);
         let mut marks = Vec::new();
         for (m, s) in &self.sessions {
             let Some(r) = self.view.machine(*m).filter(|r| r.fitness < Fitness::Lost) else { continue };
-            if since(&r.yard).is_some_and(|at| s.last_word().is_none_or(|word| word < at)) {
+            if self.zones.lost_since(&r.yard).is_some_and(|at| s.last_word().is_none_or(|word| word < at)) {
                 marks.push((*m, Mark { fitness: Fitness::Lost, dead: r.dead }));
             }
         }
@@ -164,7 +162,7 @@
         if !self.zones.any_lost() {
             return lost;
         }
-        let types = self.view.types.value.iter().flat_map(|c| &c.types);
+        let types = self.view.machine_types();
         let boot = types.map(|t| self.expected_boot(&t.name)).max().unwrap_or_default();
         let by = self.now.day + self.cfg.lease + boot;
         for (_, _, r) in self.view.machines() {
@@ -197,7 +195,7 @@
     fn room_by_the_end_of_leases(&self) -> u64 {
         let lease = self.cfg.lease;
         let mut room = 0;
-        for (_, _, r) in self.view.machines().filter(|(_, _, r)| r.fitness == Fitness::Up) {
+        for (_, r) in self.view.machines_up() {
             room += self.view.free(r).cores;
             for job in r.tasks.iter().filter_map(|b| self.view.jobs.get(&JobId(b.0))) {
                 let spec = job.spec();
--- a/tests/runner/cloud.rs
+++ b/tests/runner/cloud.rs
@@ -39,6 +39,11 @@
     name.strip_prefix("i-")?.parse().ok()
 }
 
+/// Whether a zone is among those that something holds for until some time.
+fn holds(zones: &[(String, u64)], yard: &str, now: u64) -> bool {
+    zones.iter().any(|(z, until)| z == yard && now < *until)
+}
+
 impl Cloud {
     pub fn new(types: Vec<TypeSpec>, lag: u64) -> Cloud {
         Cloud {
@@ -87,8 +92,7 @@
             ("POST", "/hosts/release") => {
                 for h in body["hosts"].as_array().into_iter().flatten() {
                     if let Some(host) = h.as_str().and_then(id).and_then(|i| self.hosts.get_mut(&i)) {
-                        let cut = self.cut.iter().any(|(z, until)| *z == host.yard && now < *until);
-                        host.in_vain |= cut && host.gone_at.is_none();
+                        host.in_vain |= holds(&self.cut, &host.yard, now) && host.gone_at.is_none();
                         host.gone_at.get_or_insert(now);
                     }
                 }
@@ -123,8 +127,7 @@
         };
         let spot = body["loaners"].as_bool().unwrap_or(false);
         let yard = body["yard"].as_str().unwrap_or_default().to_owned();
-        let dark = self.dark.iter().any(|(z, until)| *z == yard && now < *until);
-        let most = if dark {
+        let most = if holds(&self.dark, &yard, now) {
             0
         } else if spot {
             self.types[build].spot
@@ -147,7 +150,7 @@
             let factor = if now < self.slow.1 { self.slow.0 } else { 1.0 };
             let boot = self.types[build].boot * (0.6 + 0.9 * dice()) * factor;
             let up_at = (!stuck).then_some(now + (boot * 1e6) as u64);
-            let hired_in_vain = self.cut.iter().any(|(z, until)| *z == yard && now < *until);
+            let hired_in_vain = holds(&self.cut, &yard, now);
             let yard = yard.clone();
             let host = Host { build, yard, spot, rented: now, up_at, gone_at: None, in_vain: false, hired_in_vain };
             self.hosts.insert(i, host);
