Runner: late transactions, copies of reports, deaf machines; scenarios where troubles meet

The runner learns transactions that get no answer and are carried out 2 to 12 s later, copies of reports up to two and a half leases late, machines that hear nothing, and that open watches of a refused controller wait. Its checker judges at each step that no job is forgotten for 75 s once all troubles are over, each by itself; 'expect fair' wants half of each class, team and a class's largest jobs served and the largest begun within four minutes; 'expect margin' the time that cancelled tasks had left.

--- a/tests/runner/check.rs
+++ b/tests/runner/check.rs
@@ -57,6 +57,11 @@
     last_end: BTreeMap<u64, u64>,
     /// Since when all polls for a job have failed, and how many polls for others were answered since.
     failing: BTreeMap<u64, (u64, u64)>,
+    /// When the last trouble is over, and when a question about a job was last answered.
+    pub calm: u64,
+    answered: BTreeMap<u64, u64>,
+    /// The least time that was left when a task of a cancelled job was gone.
+    pub margin: Option<u64>,
     pub polls: (u64, u64),
     pub started: u64,
     /// Rules for where jobs run.
@@ -88,7 +93,7 @@
         match deed {
             Deed::Ended(t, why) => {
                 if self.on.get(t) == Some(&machine) {
-                    self.off(*t);
+                    self.off(now, *t);
                 }
                 if *why == "done" {
                     self.done.entry(t.0).or_default().insert(t.1);
@@ -105,7 +110,7 @@
                 if let Some(at) = self.submitted.get(&t.0) {
                     self.waited.entry(*t).or_insert(now - at);
                 }
-                let other = self.off(*t);
+                let other = self.off(now, *t);
                 self.on.insert(*t, machine);
                 self.here.entry(machine).or_default().insert(*t);
                 if let Some(other) = other.filter(|o| *o != machine) {
@@ -147,8 +152,12 @@
     }
 
     /// A task is not running any more; where it was.
-    fn off(&mut self, t: Task) -> Option<u64> {
+    fn off(&mut self, now: u64, t: Task) -> Option<u64> {
         let machine = self.on.remove(&t)?;
+        if let Some(told) = self.told_cancelled.get(&t.0) {
+            let left = (told + self.cancel).saturating_sub(now);
+            self.margin = Some(self.margin.map_or(left, |m| m.min(left)));
+        }
         self.here.get_mut(&machine)?.remove(&t);
         Some(machine)
     }
@@ -175,6 +184,16 @@
         all
     }
 
+    /// The last end of those that a job awaits, once all of them are done.
+    pub fn ready_at(&self, job: u64) -> Option<u64> {
+        let awaited = self.awaited(job);
+        awaited
+            .iter()
+            .all(|j| self.all_ran(*j))
+            .then(|| awaited.iter().filter_map(|j| self.last_end.get(j)).max())?
+            .copied()
+    }
+
     /// How long after the last end of those that it awaits a job started.
     pub fn followed_after(&self, job: u64) -> Option<u64> {
         let ready = self.awaited(job).iter().filter_map(|j| self.last_end.get(j)).max().copied()?;
@@ -203,9 +222,17 @@
             .copied()
             .collect();
         for t in late {
-            self.off(t);
+            self.off(now, t);
             self.rule(now, format!("ran_cancelled: {} is still there", task_name(t)));
         }
+        // Once all troubles are over each job counts by itself, however others fare.
+        for job in self.open() {
+            let since = self.answered.get(&job).copied().unwrap_or(0).max(self.calm).max(self.accepted[&job]);
+            if now > since + 75_000_000 {
+                self.answered.insert(job, now);
+                self.rule(now, format!("forgotten: no question about req-{job:06} was answered for 75 s"));
+            }
+        }
     }
 
     pub fn asks_abort(&mut self, job: u64) {
@@ -232,6 +259,9 @@
     pub fn told(&mut self, now: u64, asked: u64, kind: &str, job: u64, status: u16, state: Option<&str>) {
         // A request that began before the job was accepted may be answered from before it.
         let known = self.accepted.get(&job).is_some_and(|at| *at <= asked);
+        if matches!(status, 200 | 201 | 404) {
+            self.answered.insert(job, now);
+        }
         match status {
             200 | 201 => {
                 if !self.asked.contains_key(&job) {
--- a/tests/runner/machines.rs
+++ b/tests/runner/machines.rs
@@ -100,6 +100,10 @@
         self.deeds(machine, deeds);
         if let Some((node, m)) = message {
             self.at(now + 4_000_000, Happening::WorkerTimeout(machine, now));
+            if self.drawn(|w| &w.late_reports) {
+                let after = 2_000_000 + (self.dice() * self.script.lease * 2.5e6) as u64;
+                self.at(now + after, Happening::Deliver(Box::new(m.clone())));
+            }
             if self.nodes[node].is_some() {
                 self.send(Party::Machine(machine), Party::Node(node), false, m);
             }
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -102,13 +102,20 @@
     WorkerTimeout(u64, u64),
     UserTimeout(usize, u32),
     UserAgain(usize),
-    Poll { job: u64, count: u64, every: u64, until: u64 },
+    Poll {
+        job: u64,
+        count: u64,
+        every: u64,
+        until: u64,
+    },
     Boot(u64),
     Gone(u64),
     Restart(usize),
     Step(usize),
     StateTick,
     Sweep,
+    /// A transaction that got no answer is carried out.
+    LateWrite(Box<StateRequest>),
 }
 
 struct Fault {
@@ -168,6 +175,14 @@
     faults: Vec<Fault>,
     refused: Vec<(usize, u64)>,
     throttled: Vec<(usize, u64)>,
+    /// Shares of transactions that are carried out late, and of reports that come again; until when.
+    late_writes: Vec<(f64, u64)>,
+    late_reports: Vec<(f64, u64)>,
+    /// Machines that hear nothing, until when.
+    deaf: BTreeMap<u64, u64>,
+    /// Machines that had a record a moment ago, and how many got one when they were gone already.
+    known: BTreeSet<u64>,
+    ghosts: u64,
     pub check: Checker,
     counters: Counters,
     takeovers: u64,
@@ -235,6 +250,11 @@
             faults: Vec::new(),
             refused: Vec::new(),
             throttled: Vec::new(),
+            late_writes: Vec::new(),
+            late_reports: Vec::new(),
+            deaf: BTreeMap::new(),
+            known: BTreeSet::new(),
+            ghosts: 0,
             check,
             counters: Counters::default(),
             takeovers: 0,
@@ -246,6 +266,7 @@
             rules: vec![script.with.clone(); script.nodes],
             script,
         };
+        w.check.calm = w.script.calm();
         w.check.laws = laws::Laws::new(&w.script);
         if let Some(file) = &w.script.records {
             let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/production").join(file);
@@ -312,6 +333,9 @@
     /// Sends a message, as the faults between the two let it.
     fn send(&mut self, from: Party, to: Party, answer: bool, message: Message) {
         let now = self.now;
+        if matches!(to, Party::Machine(m) if self.deaf.get(&m).is_some_and(|until| now < *until)) {
+            return;
+        }
         let mut at = now + 500 + (self.dice() * 3_000.0) as u64;
         if self.dice() < 0.01 {
             at += (self.dice() * 300_000.0) as u64;
@@ -537,8 +561,13 @@
             Ask::State(request) => {
                 let (method, path, body) = state_wire::http(request);
                 let refused = |list: &[(usize, u64)]| list.iter().any(|(n, until)| *n == node && now < *until);
+                let late = matches!(request, StateRequest::Txn(_)) && self.drawn(|w| &w.late_writes);
                 if refused(&self.refused) {
                     Some((503, json!({})))
+                } else if late {
+                    let after = 2_000_000 + (self.dice() * 1e7) as u64;
+                    self.at(now + after, Happening::LateWrite(Box::new(request.clone())));
+                    return;
                 } else if refused(&self.throttled) {
                     self.throttles += 1;
                     Some((429, json!({})))
@@ -577,12 +606,23 @@
         }
     }
 
+    /// Whether something of which a share is troubled now is.
+    fn drawn(&mut self, of: impl Fn(&World) -> &[(f64, u64)]) -> bool {
+        let now = self.now;
+        let share = of(self).iter().filter(|(_, until)| now < *until).map(|(share, _)| *share).fold(0.0, f64::max);
+        share > 0.0 && self.dice() < share
+    }
+
     fn state_tick(&mut self) {
         for (id, status, body) in self.state.tick(self.now) {
             // Kept by its number in `happenings`, out of the queue.
             if let Some(Happening::Deliver(m)) = self.happenings.remove(&id)
                 && let Message::Answer { node, life, call, ask, .. } = *m
             {
+                // Open watches of a controller that is refused wait as in an outage, longer than it waits for them.
+                if self.refused.iter().any(|(n, until)| *n == node && self.now < *until) {
+                    continue;
+                }
                 let answer = Some((status, body.to_string().into_bytes()));
                 let m = Message::Answer { node, life, call, ask, answer };
                 self.send(Party::State, Party::Node(node), true, m);
@@ -640,6 +680,11 @@
             Step::Outage { party, .. } => panic!("{party:?} has no outages"),
             Step::Refuse { node, span } => self.refused.push((node, now + span)),
             Step::Throttle { node, span } => self.throttled.push((node, now + span)),
+            Step::LateWrites { share, span } => self.late_writes.push((share, now + span)),
+            Step::LateReports { share, span } => self.late_reports.push((share, now + span)),
+            Step::Deaf { machine, count, span } => {
+                self.deaf.extend((machine..machine + count).map(|m| (m, now + span)));
+            }
             Step::Hang { party, span } => match party {
                 Party::Machine(m) => {
                     if let Some(w) = self.workers.get_mut(&m) {
@@ -771,6 +816,12 @@
                     let next = self.state.next_deadline().unwrap_or(u64::MAX).max(self.now + 20_000);
                     self.at(next.min(self.now + 100_000), Happening::StateTick);
                 }
+                Happening::LateWrite(request) => {
+                    let (method, path, body) = state_wire::http(&request);
+                    self.order += 1;
+                    self.state.request(at, self.order, method, &path, &body);
+                    self.state_tick();
+                }
                 Happening::Sweep => {
                     self.check.sweep(self.now);
                     let ruled = self
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -100,6 +100,22 @@
         party: Party,
         span: u64,
     },
+    /// This share of transactions gets no answer, and is carried out 2 to 12 s later, after newer ones.
+    LateWrites {
+        share: f64,
+        span: u64,
+    },
+    /// Of this share of the reports a copy arrives again, from 2 s to two and a half leases later.
+    LateReports {
+        share: f64,
+        span: u64,
+    },
+    /// Machines by number from this one on are deaf: their reports arrive, answers and commands to them are lost.
+    Deaf {
+        machine: u64,
+        count: u64,
+        span: u64,
+    },
     /// A zone loses its power: its machines are gone, its controllers come back later.
     Die {
         zone: String,
@@ -229,6 +245,13 @@
     },
     /// Of the polls, this share was answered with a state, or that there is no such job.
     Polled(f64),
+    /// At least half of each class, of each team and of each class's largest jobs was done, and the largest jobs
+    /// began within four minutes.
+    Fair,
+    /// Every task of a cancelled job was gone at least so long before its time was over.
+    Margin(u64),
+    /// At most so many machines got a record when they were gone already.
+    FewGhosts(u64),
 }
 
 #[derive(Clone, Debug)]
@@ -333,7 +356,35 @@
     "one_zone", "apart", "image", "size", "shape", "fails", "lane", "bookmark", "stash",
 ];
 
+impl Step {
+    /// For how long it is a trouble.
+    fn span(&self) -> Option<u64> {
+        Some(match self {
+            Step::Cut { span, .. }
+            | Step::Outage { span, .. }
+            | Step::Refuse { span, .. }
+            | Step::Throttle { span, .. }
+            | Step::Hang { span, .. }
+            | Step::LateWrites { span, .. }
+            | Step::LateReports { span, .. }
+            | Step::Deaf { span, .. }
+            | Step::Boots { span, .. }
+            | Step::Polls { span, .. } => *span,
+            Step::Crash { down, .. } | Step::Die { down, .. } => *down,
+            Step::Change { down, .. } | Step::Rules { down, .. } => *down,
+            Step::Take { notice, .. } => *notice,
+            Step::Faulty { .. } | Step::Limits | Step::Team { .. } => 0,
+            Step::Submit { .. } | Step::Abort { .. } | Step::Query { .. } => return None,
+        })
+    }
+}
+
 impl Script {
+    /// When the last trouble is over.
+    pub fn calm(&self) -> u64 {
+        self.steps.iter().filter_map(|(at, step)| Some(at + step.span()?)).max().unwrap_or(0)
+    }
+
     pub fn parse(text: &str) -> Result<Script, String> {
         let mut s = Script {
             seed: 1,
@@ -500,6 +551,12 @@
                     "requests-at-most" => Expect::Requests(w.word(2, whole)?),
                     "changes-at-most" => Expect::Changes(w.word(2, whole)?),
                     "polls-answered" => Expect::Polled(w.word(2, real)?),
+                    "fair" => {
+                        plain = 2;
+                        Expect::Fair
+                    }
+                    "ghosts-at-most" => Expect::FewGhosts(w.word(2, whole)?),
+                    "margin" => Expect::Margin(w.word(2, micros)?),
                     "machines-at-most" => Expect::FewerMachines(w.word(2, whole)?),
                     other => return Err(format!("unknown expectation {other}")),
                 };
@@ -588,6 +645,16 @@
         "outage" => (Step::Outage { party: w.word(3, Party::parse)?, span: w.need("for", micros)? }, 4),
         "refuse" => (Step::Refuse { node: w.word(3, node)?, span: w.need("for", micros)? }, 4),
         "throttle" => (Step::Throttle { node: w.word(3, node)?, span: w.need("for", micros)? }, 4),
+        "late-writes" | "late-reports" => {
+            let share = w.need("share", |t| t.parse::<f64>().ok().filter(|s| (0.0..=1.0).contains(s)))?;
+            let span = w.need("for", micros)?;
+            let writes = kind == "late-writes";
+            (if writes { Step::LateWrites { share, span } } else { Step::LateReports { share, span } }, 3)
+        }
+        "deaf" => {
+            let count = w.take("count", |t| t.parse().ok())?.unwrap_or(1);
+            (Step::Deaf { machine: w.word(3, machine)?, count, span: w.need("for", micros)? }, 4)
+        }
         "hang" => (Step::Hang { party: w.word(3, Party::parse)?, span: w.need("for", micros)? }, 4),
         "take" => {
             let notice = w.take("notice", micros)?.unwrap_or(0);
--- a/tests/runner/verdict.rs
+++ b/tests/runner/verdict.rs
@@ -22,6 +22,9 @@
                 }
             }
         }
+        // One that was gone when it got its record: only an old report can have spoken for it.
+        self.ghosts += all.difference(&self.known).filter(|m| !self.workers.contains_key(m)).count() as u64;
+        self.known.clone_from(&all);
         self.most_groups = self.most_groups.max(of_slice.into_values().max().unwrap_or(0));
         all
     }
@@ -99,14 +102,22 @@
                 Expect::FewUnneeded(n) => self.counters.unneeded <= *n,
                 Expect::Served { name, within, share } => self.served(name, *within) >= *share,
                 Expect::Polled(share) => self.check.polls.1 as f64 >= self.check.polls.0 as f64 * share,
+                Expect::Fair => {
+                    bad.extend(self.unfair());
+                    true
+                }
+                Expect::FewGhosts(n) => self.ghosts <= *n,
+                Expect::Margin(least) => self.check.margin.is_some_and(|m| m >= *least),
                 Expect::FewerMachines(n) => self.cloud.hosts.len() as u64 <= *n,
             };
             if !good {
                 bad.push(format!(
-                    "expected {e:?}; open: {:?}, clashes {}, takeovers {}, lost leases {}, hosts {}, groups {}, \
+                    "expected {e:?}; open: {:?}, margin {:?}, ghosts {}, clashes {}, takeovers {}, lost leases {}, hosts {}, groups {}, \
                      without a record {unrecorded}, returned in vain {:?}, lost with zones {}, absences, silenced, unneeded {:?}, \
                      refused {}, largest {:?}, state {:?}, polls {:?}, starts {:?}, urgent in 2 s {:.3}, done {:?}",
                     self.check.open(),
+                    self.check.margin,
+                    self.ghosts,
                     self.counters.clashes,
                     self.takeovers,
                     self.lost_leases,
@@ -169,6 +180,47 @@
         f64::from(good) / f64::from(all.max(1))
     }
 
+    /// What was served less than half, of classes, teams and the classes' largest jobs, and which of the largest
+    /// did not begin within four minutes. Jobs that came too late for that, or were cancelled, do not count.
+    fn unfair(&self) -> Vec<String> {
+        const FOUR_MINUTES: u64 = 240_000_000;
+        let came = |j: &u64| self.check.submitted.get(j).copied().unwrap_or(0);
+        let counts = |j: &u64| {
+            self.check.is_accepted(*j) && !self.check.is_cancelled(*j) && came(j) + FOUR_MINUTES <= self.script.end
+        };
+        let jobs: Vec<_> = self.check.asked.iter().filter(|(j, _)| counts(j)).collect();
+        let mut groups: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+        for (j, a) in &jobs {
+            groups.entry(format!("class {}", a.lane)).or_default().push(**j);
+            groups.entry(format!("team {}", a.team)).or_default().push(**j);
+        }
+        let mut bad = Vec::new();
+        let lanes: BTreeSet<&str> = jobs.iter().map(|(_, a)| &*a.lane).collect();
+        for lane in lanes {
+            let mut of: Vec<_> = jobs.iter().filter(|(_, a)| a.lane == lane).collect();
+            of.sort_by_key(|(_, a)| std::cmp::Reverse(a.pieces));
+            let largest: Vec<u64> = of.iter().take(of.len().div_ceil(10)).map(|(j, _)| **j).collect();
+            for j in &largest {
+                // One that awaits others has its time from their end.
+                let ready = if self.check.asked[j].awaits.is_empty() { Some(came(j)) } else { self.check.ready_at(*j) };
+                let Some(ready) = ready.filter(|t| t + FOUR_MINUTES <= self.script.end) else { continue };
+                if self.check.first_start.get(j).is_none_or(|t| *t > ready + FOUR_MINUTES) {
+                    bad.push(format!(
+                        "unfair: req-{j:06}, one of the largest of {lane}, did not begin in four minutes"
+                    ));
+                }
+            }
+            groups.insert(format!("largest of {lane}"), largest);
+        }
+        for (name, of) in groups {
+            let done = of.iter().filter(|j| self.check.is_done(**j)).count();
+            if done * 2 < of.len() {
+                bad.push(format!("unfair: {done} of {} done of {name}", of.len()));
+            }
+        }
+        bad
+    }
+
     /// How many tasks were started.
     pub fn started(&self) -> u64 {
         self.check.started
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -87,8 +87,97 @@
 own alone [{"name": "alone", "require": "not beside lane {renders, plain}"}]
 "#;
 
+/// A day on which two or three meetings of troubles overlap, drawn from a seed: long and short tasks, jobs of two or three
+/// of them, cancellations at any time.
+fn met(seed: u64) -> Script {
+    use rand::rngs::StdRng;
+    use rand::{RngExt, SeedableRng};
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut pick = |n: u64| rng.random_range(0..n);
+    let nodes = 3 + 2 * pick(2);
+    let mut text = format!(
+        "seed {seed}\nnodes {nodes}\nend 560\nlease 15\nreport {}\ncancel 40\nvalue_kb {}\n\
+         team red cores=20 most=60\n\
+         type small cores=8 mem=32 boot=4 price=1 spot_price=0.4 count=6 spot=10 stuck=0.03\n\
+         type large cores=32 mem=96 boot=8 price=3.6 spot_price=1.4 count=2 spot=4\n",
+        [1.0, 2.5, 5.0][pick(3) as usize],
+        [4, 16][pick(2) as usize],
+    );
+    for job in 1..=22 {
+        let at = 1 + pick(130);
+        let (pieces, run) =
+            [(2 + pick(2), 20 + pick(100)), (1 + pick(24), 40 + pick(80)), (1 + pick(12), 2 + pick(20))]
+                [pick(3) as usize];
+        let (urgency, lane) = [("high", "urgent"), ("standard", "lane"), ("low", "idle")][pick(3) as usize];
+        let team = ["red", "free", "free"][pick(3) as usize];
+        let extra = ["", "", " bookmark=5 stash=2", " spot=no", " shape=group"][pick(5) as usize];
+        text += &format!(
+            "at {at} submit req-{job:06} pieces={pieces} cores={} run={run} team={team} urgency={urgency} lane={lane} image=i{} due={}{extra}\n",
+            1 + pick(3),
+            pick(3),
+            60 + run + pick(200),
+        );
+        match pick(9) {
+            0..4 => {
+                let to = [String::new(), format!(" node=n{}", pick(nodes))][pick(2) as usize].clone();
+                text += &format!("at {} abort req-{job:06}{to}\n", at + pick(70));
+            }
+            4 => text += &format!("at {at} submit req-{:06} pieces=4 cores=1 run=8 awaits=req-{job:06}\n", 100 + job),
+            _ => {}
+        }
+    }
+    for _ in 0..2 + pick(2) {
+        let at = 15 + pick(100);
+        let (n, other, m) = (pick(nodes), pick(nodes), 1 + pick(12));
+        let span = 10 + pick(40);
+        let mode = ["drop", "hold", "reset"][pick(3) as usize];
+        let soon = ["0.2", "0.6", "3", "14"][pick(4) as usize];
+        text += &match pick(10) {
+            // Commands held up, machines that hang and go on.
+            0 => format!(
+                "at {at} cut nodes machines mode=late-commands for={span}\nat {} hang i-{m:06} for={}\n",
+                at + pick(span),
+                4 + pick(12)
+            ),
+            // The leader refused alone, then all.
+            1 => format!("at {at} refuse n{n} for={span}\nat {} outage state for={}\n", at + span, 30 + pick(40)),
+            // The same, and it hears of nothing.
+            2 => format!(
+                "at {at} cut n{n} nodes mode=drop for={}\nat {at} refuse n{n} for={span}\nat {} outage state for={}\n",
+                span + 30,
+                at + span,
+                30 + pick(40)
+            ),
+            3 => {
+                format!("at {at} cut n{n} state mode={mode} for={span}\nat {at} cut n{n} nodes mode=drop for={span}\n")
+            }
+            4 => format!("at {at} crash n{n} for={soon}\nat {} crash n{other} for={soon}\n", at + 10 + pick(60)),
+            5 => format!("at {at} late-reports share=0.{} for={}\n", 2 + pick(7), span * 2),
+            6 => format!(
+                "at {at} deaf i-{m:06} count={} for={}\nat {} crash n{n} for={soon}\n",
+                1 + pick(6),
+                span * 3,
+                at + 2
+            ),
+            7 => format!("at {at} cut i-{m:06} nodes mode={mode} for={span}\nat {} crash n{n} for={soon}\n", at + 2),
+            8 => format!("at {at} late-writes share=0.{} for={}\n", 1 + pick(5), span * 2),
+            _ => format!(
+                "at {at} crash n{n} for={soon} times=3 every=4\nat {} crash nodes for={soon}\nat {} hang n{other} for={}\n",
+                at + 20,
+                at + 30,
+                3 + pick(12)
+            ),
+        };
+    }
+    text += "expect all-done\nexpect fair\n";
+    Script::parse(&text).unwrap_or_else(|e| panic!("{e}\n{text}"))
+}
+
 /// A day drawn from a seed: jobs of all kinds, and faults that overlap.
 fn drawn(seed: u64) -> Script {
+    if seed > 5000 {
+        return met(seed);
+    }
     use rand::rngs::StdRng;
     use rand::{RngExt, SeedableRng};
     let mut rng = StdRng::seed_from_u64(seed);
@@ -252,6 +341,7 @@
                 .chain(2001..=2000 + count)
                 .chain(3001..=3000 + count)
                 .chain(4001..=4000 + count)
+                .chain(5001..=5000 + count)
                 .collect()
         },
         |s| vec![s],
