Launches of cancelled jobs have a deadline; deaf machines and copies of reports are told

Cause: an owner that knew of a cancellation answered a machine for as long as its contact with the state service was young, although a direct launch without an answer could still reach that machine and the term could not be raised, the state service being away. Now such a machine is answered for cancel_s less the lease and a margin after the last read that did not show the cancellation; terms are raised for such launches without waiting for a report.

Deaf machines held their tasks for as long as they were deaf: each report made them well again.

--- /dev/null
+++ b/src/coordination/cancelled.rs
@@ -0,0 +1,95 @@
+//! Cancelled jobs whose tasks may still get to a machine: by when they have to be gone.
+//!
+//! An owner that cannot know of a cancellation stops answering workers in time (`contact_limit`). One that knows of it stops the
+//! tasks that it sees, but a direct launch without an answer may be held anywhere and be carried out much later. Only the
+//! worker's next session or a higher token ends that, and a higher token needs the state service. While that is away contact
+//! is as old as its outage, which may have begun long after the cancellation: so such a machine has a time of its own, which
+//! counts from the cancellation. After it the machine is answered no more, and its lease ends all that is there.
+//!
+//! What earlier owners launched needs none of this: a worker that takes this owner's answer has its token, and one that
+//! does not take it renews no lease.
+
+use super::Controller;
+use crate::bookkeeping::ids::{Attempt, JobId};
+use crate::bookkeeping::time::Micros;
+use std::collections::BTreeMap;
+
+/// Since when cancelled jobs may have been called so by any controller, at the earliest.
+#[derive(Debug, Default)]
+pub struct Cancelled {
+    since: BTreeMap<JobId, Micros>,
+    /// Contact is too old to answer workers: since when.
+    mute: Option<Micros>,
+}
+
+impl Cancelled {
+    /// A job is seen to be cancelled. `before`: it was not by then.
+    pub fn note(&mut self, job: JobId, before: Micros) {
+        self.since.entry(job).or_insert(before);
+    }
+
+    /// Forgets what was cancelled before this time: no launch of it can be on its way any more.
+    pub fn forget(&mut self, before: Micros) {
+        self.since.retain(|_, since| *since >= before);
+    }
+
+    /// Of some launches the earliest time at which the job of one may have been called cancelled.
+    pub fn earliest<'a>(&self, launches: impl Iterator<Item = &'a Attempt>) -> Option<Micros> {
+        launches.filter_map(|a| self.since.get(&a.task.job)).min().copied()
+    }
+}
+
+impl Controller {
+    /// How old contact with the state service may be while workers are still answered, and how long ago a job may have been
+    /// cancelled of which a launch is under way: every task is then gone in time.
+    pub(super) fn contact_limit(&self) -> Micros {
+        self.cfg.cancel - self.cfg.lease.with_drift() - Micros::millis(1_500)
+    }
+
+    /// Whether contact with the state service is too old to answer workers.
+    pub(super) fn is_out_of_contact(&mut self) -> bool {
+        let (now, contact) = (self.now.steady, self.contact_age());
+        let out = contact > self.contact_limit();
+        if out && self.cancelled.mute.is_none() {
+            tracing::info!(%contact, "workers are not answered: what was cancelled since is not known");
+            self.cancelled.mute = Some(now);
+        } else if !out && let Some(since) = self.cancelled.mute.take() {
+            tracing::info!(after = %now.since(since), "workers are answered again");
+        }
+        out
+    }
+
+    /// Whether a machine may still be reached by a launch of a job that was cancelled so long ago that only the end of the
+    /// machine's lease can keep it from running there.
+    pub(super) fn is_overdue(&self, since: Option<Micros>) -> bool {
+        since.is_some_and(|t| self.now.steady.since(t) > self.contact_limit())
+    }
+
+    /// Forgets cancellations that are long over.
+    pub(super) fn sweep_cancelled(&mut self) {
+        let old = (self.cfg.cancel + self.cfg.lease) * 4;
+        if self.now.steady > old {
+            self.cancelled.forget(self.now.steady - old);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::bookkeeping::ids::TaskId;
+
+    #[test]
+    fn the_first_time_counts_and_the_earliest_of_all_launches() {
+        let launch = |job| Attempt { task: TaskId { job: JobId(job), index: 0 }, number: 7 };
+        let mut c = Cancelled::default();
+        c.note(JobId(1), Micros::secs(5));
+        c.note(JobId(1), Micros::secs(9));
+        c.note(JobId(2), Micros::secs(4));
+        assert_eq!(c.earliest([launch(1), launch(3)].iter()), Some(Micros::secs(5)));
+        assert_eq!(c.earliest([launch(1), launch(2)].iter()), Some(Micros::secs(4)));
+        assert_eq!(c.earliest([launch(3)].iter()), None);
+        c.forget(Micros::secs(5));
+        assert_eq!(c.earliest([launch(1), launch(2)].iter()), Some(Micros::secs(5)));
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 
 mod absence;
 mod budget;
+mod cancelled;
 mod draft;
 mod fleet;
 mod limits;
@@ -193,6 +194,8 @@
     reader: reader::Reader,
     ownership: ownership::Ownership,
     sessions: BTreeMap<MachineId, sessions::Session>,
+    /// Since when jobs may have been called cancelled.
+    cancelled: cancelled::Cancelled,
     /// Machines whose workers may have to be sent a direct command.
     to_command: BTreeSet<MachineId>,
     /// Machines that were removed lately: those of the highest numbers.
@@ -231,6 +234,7 @@
             reader: reader::Reader::default(),
             ownership: ownership::Ownership::default(),
             sessions: BTreeMap::new(),
+            cancelled: cancelled::Cancelled::default(),
             to_command: BTreeSet::new(),
             removed: BTreeSet::new(),
             reach: reach::Reach::default(),
@@ -356,6 +360,7 @@
             self.sweep_sessions();
             self.sweep_zones();
         }
+        self.sweep_cancelled();
         self.sweep_users();
         self.sweep_rules();
         if self.now.steady >= self.next_count {
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -10,6 +10,8 @@
 pub struct Reader {
     phase: Phase,
     contact: Micros,
+    /// Contact before the read that was applied last: what that read brought had not happened by then.
+    before: Micros,
     /// When the watch under way was sent.
     watching: Option<Micros>,
     /// When a read was last answered.
@@ -51,6 +53,11 @@
         self.contact
     }
 
+    /// What the read that was applied last brought happened after this.
+    pub fn before(&self) -> Micros {
+        self.before
+    }
+
     /// Asks for a read that begins now or later.
     pub fn want_barrier(&mut self) {
         self.wanted = true;
@@ -253,6 +260,7 @@
             self.lose_all_tenures();
             return self.refuse_layout();
         }
+        self.reader.before = self.reader.contact;
         self.reader.contact = self.reader.contact.max(sent);
         self.reader.answered = self.now.steady;
         self.reader.read = self.reader.read.max(id.0);
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -34,10 +34,15 @@
     heard: bool,
     /// When the last report that was answered 200 came in.
     answered: Option<Micros>,
-    /// When there was last any word of it: a report, or an answer to a direct command.
+    /// When there was last any word of it: a report, or an answer to a direct command. Copies of earlier reports are none.
     word: Option<Micros>,
-    /// A direct command since then had no answer.
+    /// A direct command had no answer, and nothing has shown since then that the worker hears.
     unreachable: bool,
+    /// The last report that was answered 200, and the highest token that was reported.
+    told: Option<(u64, u64)>,
+    baton: u64,
+    /// Reports in a row that do not show that the worker hears: it may be deaf, or they may be copies.
+    unheeding: u32,
     seen: Vec<(Attempt, TaskState)>,
     launched: BTreeSet<Attempt>,
     started: BTreeMap<Attempt, Micros>,
@@ -66,6 +71,9 @@
             answered: None,
             word: None,
             unreachable: false,
+            told: None,
+            baton: 0,
+            unheeding: 0,
             seen: Vec::new(),
             launched: BTreeSet::new(),
             started: BTreeMap::new(),
@@ -81,9 +89,36 @@
         }
     }
 
-    fn word(&mut self, now: Micros) {
+    /// A direct command was answered.
+    fn heeds(&mut self, now: Micros) {
         self.word = Some(now);
         self.unreachable = false;
+        self.unheeding = 0;
+    }
+
+    /// A report that is newer than all before. Whether its worker hears what it is told shows in its token, and in
+    /// that it stays: without an answer it would have gone to another controller with its next report.
+    fn reported(&mut self, now: Micros, report: &Report, first_term: u64, alone: bool) {
+        let stayed = !alone && self.told == Some(self.order) && report.order == (self.order.0, self.order.1 + 1);
+        let first = self.order == (0, 0);
+        if stayed || report.baton >= first_term && (first || alone || report.baton > self.baton) {
+            self.heeds(now);
+        } else {
+            self.word = Some(now);
+            self.unheeding = self.unheeding.saturating_add(1);
+        }
+        self.baton = self.baton.max(report.baton);
+    }
+
+    /// Whether reports come from it, but nothing that it is told arrives.
+    fn is_deaf(&self) -> bool {
+        self.unheeding >= 2 && self.unreachable
+    }
+
+    /// Launches that may still be on their way.
+    fn under_way(&self) -> impl Iterator<Item = &Attempt> {
+        let direct = self.direct.iter().flat_map(|d| &d.launches);
+        direct.chain(self.unsettled.iter().map(|(a, _, _)| a))
     }
 
     /// Whether no launch of the attempt can still be on its way by a direct command.
@@ -209,12 +244,6 @@
         self.rounds.drop_machines(|m| view.machine_slice(m) == k);
     }
 
-    /// How old contact with the state service may be while workers are still answered: every task
-    /// of a job whose cancellation could not be seen is then gone in time.
-    fn contact_limit(&self) -> Micros {
-        self.cfg.cancel - self.cfg.lease.with_drift() - Micros::millis(1_500)
-    }
-
     pub(super) fn on_report(&mut self, report: &Report) -> ReportAnswer {
         if !self.reader.ready() || self.view.slices() == 0 {
             return ReportAnswer::Unavailable;
@@ -229,7 +258,7 @@
                 None => ReportAnswer::Unavailable,
             };
         }
-        if self.contact_age() > self.contact_limit() {
+        if self.is_out_of_contact() {
             return ReportAnswer::Unavailable;
         }
         let baton = self.view.own[k].stamp;
@@ -254,16 +283,46 @@
         if report.session() <= session.refused {
             return ReportAnswer::Unavailable;
         }
-        session.answered = Some(self.now.steady);
-        session.word(self.now.steady);
-        if report.order <= session.order {
-            return ReportAnswer::Orders { baton, orders: Vec::new() };
+        let now = self.now.steady;
+        // An older one may be a copy, which is no sign of life; or the worker's own, overtaken by its answer to a direct
+        // command, so it is answered.
+        let newer = report.order > session.order;
+        if newer {
+            let first = self.ownership.tenure(k).map_or(u64::MAX, |t| t.first);
+            session.reported(now, report, first, self.cfg.others.is_empty());
+            self.take_report(k, report);
+        }
+        if self.overdue(report.machine) {
+            return ReportAnswer::Unavailable;
+        }
+        if let Some(s) = self.sessions.get_mut(&report.machine) {
+            s.answered = Some(now);
+            s.told = Some(report.order);
         }
-        self.take_report(k, report);
-        let orders = self.orders(k, report.machine, true);
+        let orders = self.orders(k, report.machine, newer);
+        self.ask_whether_it_hears(report.machine);
         ReportAnswer::Orders { baton, orders }
     }
 
+    /// Whether a launch may still reach a machine whose job was cancelled so long ago that its lease must end.
+    fn overdue(&self, m: MachineId) -> bool {
+        let Some(s) = self.sessions.get(&m) else { return false };
+        let overdue = self.is_overdue(self.cancelled.earliest(s.under_way()));
+        if overdue {
+            tracing::info!(machine = %m, "not answered: a launch of a cancelled job may still be on its way to it");
+        }
+        overdue
+    }
+
+    /// A machine that reports and may be deaf is asked: it gets no work until it answers, or is seen to hear.
+    fn ask_whether_it_hears(&mut self, m: MachineId) {
+        let lost = self.view.machine(m).is_some_and(|r| r.fitness == Fitness::Lost);
+        let asks = |s: &Session| s.may_be_asked() && s.unheeding >= if lost { 1 } else { 2 };
+        if self.sessions.get(&m).is_some_and(asks) {
+            self.command(m, Vec::new(), Vec::new());
+        }
+    }
+
     /// Takes a newer report of a machine, by whichever way it came.
     fn take_report(&mut self, k: Slice, report: &Report) {
         let now = self.now.steady;
@@ -297,11 +356,20 @@
             tracing::info!(machine = %report.machine, "the cloud will take it back");
         }
         s.recall_at = recall_at;
+        // The first word of a machine may be a copy of a report of one that is gone. Who owns the slice for long
+        // remembers those.
+        let copies = self.cfg.lease * 3;
         match self.view.machine(report.machine) {
+            None if !s.heard && now.since(tenure.since) < copies => {}
             None => self.rounds.add(report.machine),
             Some(r) => {
                 let wanted = if r.fitness == Fitness::Releasing {
                     Fitness::Releasing
+                } else if s.is_deaf() || r.fitness == Fitness::Lost && s.unheeding > 0 {
+                    if r.fitness != Fitness::Lost {
+                        tracing::info!(machine = %report.machine, "deaf: it reports, but hears nothing");
+                    }
+                    Fitness::Lost
                 } else if recall_at.is_some() || s.faulty {
                     Fitness::Draining
                 } else {
@@ -471,6 +539,9 @@
             }
             Some(j) => {
                 let (errors, cancelled) = (j.record.errors, j.cancelled());
+                if cancelled {
+                    self.cancelled.note(job, self.reader.before());
+                }
                 if j.suspect() {
                     if self.rounds.suspect(job, errors, self.now.steady) {
                         tracing::info!(%job, errors, "suspect: its tasks fail on several machines and none is completed");
@@ -579,7 +650,7 @@
             }
             return;
         };
-        s.word(now);
+        s.heeds(now);
         if !executed {
             for a in &direct.launches {
                 s.launched.remove(a);
@@ -606,9 +677,14 @@
         let back = self.absence.back();
         let mut probes = Vec::new();
         for (m, s) in &mut self.sessions {
-            let Some(tenure) = self.ownership.tenure(self.view.machine_slice(*m)) else {
+            let k = self.view.machine_slice(*m);
+            let Some(tenure) = self.ownership.tenure(k) else {
                 continue;
             };
+            // Its reports may be seldom, and what it may still start must not run.
+            if !s.unsettled.is_empty() && self.cancelled.earliest(s.under_way()).is_some() {
+                self.ownership.raise_later(k, s.unsettled_since, now);
+            }
             let quiet = now.since(s.answered.unwrap_or(tenure.since));
             let wordless = now.since(s.word.unwrap_or(tenure.since).max(back));
             if wordless <= due {
