--- a/src/coordination/cancelled.rs
+++ b/src/coordination/cancelled.rs
@@ -1,6 +1,6 @@
 //! Cancelled jobs whose tasks may still get to a machine: by when they have to be gone.
 //!
-//! An owner that cannot know of a cancellation stops answering workers in time (`contact_limit`). One that knows of it stops the
+//! An owner that cannot know of a cancellation stops answering workers in time (`Settings::contact_limit`). One that knows of it stops the
 //! tasks that it sees, but a direct launch without an answer may be held anywhere and be carried out much later. Only the
 //! worker's next session or a higher token ends that, and a higher token needs the state service. While that is away contact
 //! is as old as its outage, which may have begun long after the cancellation: so such a machine has a time of its own, which
@@ -40,16 +40,10 @@
 }
 
 impl Controller {
-    /// How old contact with the state service may be while workers are still answered, and how long ago a job may have been
-    /// cancelled of which a launch is under way: every task is then gone in time.
-    pub(super) fn contact_limit(&self) -> Micros {
-        self.cfg.cancel - self.cfg.lease.with_drift() - Micros::millis(1_500)
-    }
-
     /// Whether contact with the state service is too old to answer workers.
     pub(super) fn is_out_of_contact(&mut self) -> bool {
         let (now, contact) = (self.now.steady, self.contact_age());
-        let out = contact > self.contact_limit();
+        let out = contact > self.cfg.contact_limit();
         if out && self.cancelled.mute.is_none() {
             tracing::info!(%contact, "workers are not answered: what was cancelled since is not known");
             self.cancelled.mute = Some(now);
@@ -59,10 +53,10 @@
         out
     }
 
-    /// Whether a machine may still be reached by a launch of a job that was cancelled so long ago that only the end of the
+    /// Whether a job, a launch of which is under way, may have been called cancelled so long ago that only the end of the
     /// machine's lease can keep it from running there.
     pub(super) fn is_overdue(&self, since: Option<Micros>) -> bool {
-        since.is_some_and(|t| self.now.steady.since(t) > self.contact_limit())
+        since.is_some_and(|t| self.now.steady.since(t) > self.cfg.contact_limit())
     }
 
     /// Forgets cancellations that are long over.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of cometlead.
 
 use clap::{Parser, Subcommand};
+use cometlead::bookkeeping::time::Micros;
 use cometlead::coordination::Controller;
 use cometlead::explain::Report;
 use cometlead::protocol::operator::OperatorSettings;
@@ -171,6 +172,9 @@
         let settings = Arc::new(settings);
         let seed = rand::random();
         tracing::info!(node = settings.node, run = format!("{seed:016x}"), "starting");
+        if settings.contact_limit() == Micros::ZERO {
+            tracing::error!("params.workers.cancel_s leaves no time beside lease_s: no worker can be answered");
+        }
         let node = Node::new(Controller::new(Arc::clone(&settings), operator, seed).with_rules(rules), &settings);
         // Of the sockets, a quarter is for calls to others, and some for the peers.
         let serving = settings.connections / 2;
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -377,6 +377,14 @@
         (self.ram_mb * 1e6 / 32.0).clamp(LEAST, MOST) as usize
     }
 
+    /// How old contact with the state service may be while workers are still answered, so that what was cancelled since
+    /// is gone in time: a worker that was answered last then keeps its tasks for a lease. Zero where `cancel_s` leaves no
+    /// room beside the lease: then no worker can be answered at all.
+    pub fn contact_limit(&self) -> Micros {
+        const MARGIN: Micros = Micros::millis(1_500);
+        self.cancel - self.lease.with_drift() - MARGIN
+    }
+
     /// Number of controllers.
     pub fn controllers(&self) -> usize {
         self.others.len() + 1
