Planted faults for the checker's newer judgements; one look at who is refused

Read again: that a job forgotten for 75 s and classes, teams and largest jobs that are left out are seen had no test of its own. Who is refused by the state service was asked in three places of the runner, now in one. No check or expectation changed.

--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -560,15 +560,14 @@
         let answer = match &ask {
             Ask::State(request) => {
                 let (method, path, body) = state_wire::http(request);
-                let refused = |list: &[(usize, u64)]| list.iter().any(|(n, until)| *n == node && now < *until);
                 let late = matches!(request, StateRequest::Txn(_)) && self.drawn(|w| &w.late_writes);
-                if refused(&self.refused) {
+                if self.is_among(&self.refused, node) {
                     Some((503, json!({})))
                 } else if late {
                     let after = 2_000_000 + (self.dice() * 1e7) as u64;
                     self.at(now + after, Happening::LateWrite(Box::new(request.clone())));
                     return;
-                } else if refused(&self.throttled) {
+                } else if self.is_among(&self.throttled, node) {
                     self.throttles += 1;
                     Some((429, json!({})))
                 } else {
@@ -606,6 +605,11 @@
         }
     }
 
+    /// Whether a controller is among those that are troubled now.
+    fn is_among(&self, list: &[(usize, u64)], node: usize) -> bool {
+        list.iter().any(|(n, until)| *n == node && self.now < *until)
+    }
+
     /// Whether something of which a share is troubled now is.
     fn drawn(&mut self, of: impl Fn(&World) -> &[(f64, u64)]) -> bool {
         let now = self.now;
@@ -620,7 +624,7 @@
                 && let Message::Answer { node, life, call, ask, .. } = *m
             {
                 // Open watches of a controller that is refused wait as in an outage, longer than it waits for them.
-                if self.refused.iter().any(|(n, until)| *n == node && self.now < *until) {
+                if self.is_among(&self.refused, node) {
                     continue;
                 }
                 let answer = Some((status, body.to_string().into_bytes()));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -395,3 +395,20 @@
     assert_eq!(world.started(), 0, "something was started");
     assert!(world.verdict().is_empty(), "a rule was broken");
 }
+
+/// The checker's newer judgements on planted faults: a job that nobody is told about, and one that never begins.
+#[test]
+fn who_is_forgotten_or_left_out_is_seen() {
+    let text = "end 400\ntype small cores=8 mem=32 boot=4 price=1 spot_price=0.4 count=0 spot=0\n\
+                at 2 submit req-000001 pieces=2 cores=2 run=5\nexpect fair\n";
+    let (mut world, bad) = play(Script::parse(text).unwrap());
+    for name in ["class lane", "team free", "largest of lane", "req-000001, one of the largest"] {
+        assert!(bad.iter().any(|b| b.contains("unfair") && b.contains(name)), "{name}: {bad:?}");
+    }
+    // From here on nobody is told anything of it, although no trouble is left.
+    let last = 400_000_000;
+    world.check.sweep(last + 74_000_000);
+    assert!(!world.check.broken.iter().any(|b| b.contains("forgotten")), "{:?}", world.check.broken);
+    world.check.sweep(last + 76_000_000);
+    assert!(world.check.broken.iter().any(|b| b.contains("forgotten: no question")), "{:?}", world.check.broken);
+}
