--- a/src/coordination/rounds/drafting.rs
+++ b/src/coordination/rounds/drafting.rs
@@ -250,7 +250,7 @@
         for a in &mut asks {
             a.owner = owners[a.owner];
         }
-        // Machines of a zone that is coming back and does not take work from everybody yet.
+        // Machines of zones that are coming back, or that others hear though they seem lost from here: for who has waited for long.
         let mut resting = Vec::new();
         let mut slots: Vec<Slot<'_>> = machines
             .into_iter()
@@ -258,7 +258,7 @@
                 // A machine that the draft adds is planned on in the next round.
                 let r = self.view.machine(machine)?;
                 let rests = !self.zones.takes_work(&r.yard, machine, self.now.steady);
-                if rests && (waited.is_empty() || self.zones.is_in_doubt(&r.yard)) {
+                if rests && waited.is_empty() {
                     return None;
                 }
                 let t = self.view.machine_type(&r.build)?;
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -42,6 +42,8 @@
     bound: Micros,
     /// When there was last any word of it: a report, or an answer to a direct command. Copies of earlier reports are none.
     word: Option<Micros>,
+    /// When the last newer report came from the worker itself, not as the answer to a command.
+    last_report: Option<Micros>,
     /// A direct command had no answer, and nothing has shown since then that the worker hears.
     unreachable: bool,
     /// The last report that was answered 200, and the highest token that was reported.
@@ -77,6 +79,7 @@
             answered: None,
             bound: Micros::ZERO,
             word: None,
+            last_report: None,
             unreachable: false,
             told: None,
             baton: 0,
@@ -106,6 +109,7 @@
     /// A report that is newer than all before. Whether its worker hears what it is told shows in its token, and in
     /// that it stays: without an answer it would have gone to another controller with its next report.
     fn reported(&mut self, now: Micros, report: &Report, first_term: u64, alone: bool) {
+        self.last_report = Some(now);
         let stayed = !alone && self.told == Some(self.order) && report.order == (self.order.0, self.order.1 + 1);
         let first = self.order == (0, 0);
         if stayed || report.baton >= first_term && (first || alone || report.baton > self.baton) {
@@ -122,6 +126,13 @@
         self.unheeding >= 2 && self.unreachable
     }
 
+    /// Whether it answers commands, but none of its reports arrive: for longer than usual, or in a tenure since `tenure` not at
+    /// all for a lease. It may be looking for its owner; beyond that its session ends by itself, whatever it is told.
+    fn is_mute(&self, now: Micros, tenure: Micros, usual: Micros, lease: Micros) -> bool {
+        let (from, most) = self.last_report.map_or((tenure, lease), |t| (t, usual));
+        now.since(from) > most && self.word.is_some_and(|word| word > from)
+    }
+
     /// Launches that may still be on their way.
     fn under_way(&self) -> impl Iterator<Item = &Attempt> {
         let direct = self.direct.iter().flat_map(|d| &d.launches);
@@ -254,6 +265,16 @@
     /// Removed machines that are remembered.
     const REMOVED: usize = 4_096;
 
+    /// A report is due by then, and a little late.
+    fn report_due(report: Micros) -> Micros {
+        report + Micros(report.0 / 4) + Micros::millis(1_500)
+    }
+
+    /// The same where the worker may first have to give up on another node.
+    fn longest_quiet(report: Micros) -> Micros {
+        Self::report_due(report) + Micros::millis(5_500)
+    }
+
     pub(super) fn begin_sessions(&mut self, k: Slice) {
         self.end_sessions(k);
         let machines: Vec<(MachineId, Session)> = self
@@ -383,13 +404,14 @@
         // The first word of a machine may be a copy of a report of one that is gone. Who owns the slice for long
         // remembers those.
         let copies = self.cfg.lease * 3;
+        let mute = s.is_mute(now, tenure.since, Self::longest_quiet(self.cfg.report), self.cfg.lease);
         match self.view.machine(report.machine) {
             None if !s.heard && now.since(tenure.since) < copies => {}
             None => self.rounds.add(report.machine),
             Some(r) => {
                 let wanted = if r.fitness == Fitness::Releasing {
                     Fitness::Releasing
-                } else if s.is_deaf() || r.fitness == Fitness::Lost && s.unheeding > 0 {
+                } else if s.is_deaf() || r.fitness == Fitness::Lost && (mute || s.unheeding > 0) {
                     if r.fitness != Fitness::Lost {
                         tracing::info!(machine = %report.machine, "deaf: it reports, but hears nothing");
                     }
@@ -608,10 +630,11 @@
                 s.wants_direct = true;
                 continue;
             }
-            // A worker that was not heard lately is told by the answer to its next report.
+            // A worker that was not heard lately is told by the answer to its next report, but for what has to end: it may
+            // reach nobody, and hear commands all the same.
             let lately = self.cfg.report * 2 + Micros::millis(500);
             let heard = s.answered.is_some_and(|t| now.since(t) < lately);
-            if !heard || s.order.0 <= s.refused || contact > Micros::secs(4) {
+            if s.order.0 <= s.refused || contact > Micros::secs(4) {
                 continue;
             }
             let Some(record) = self.view.machine(m) else {
@@ -627,7 +650,8 @@
                 let preempted = record.preempted.contains(b);
                 if (cancelled || preempted) && seen.is_some_and(|t| !matches!(t, TaskState::Exited(_))) {
                     orders.push(Order::Stop(a, if cancelled { Micros::ZERO } else { leeway(job) }));
-                } else if !cancelled
+                } else if heard
+                    && !cancelled
                     && !preempted
                     && seen.is_none()
                     && s.has_room(&self.view, Some(record), &a)
@@ -692,10 +716,7 @@
             self.rounds.look();
         }
         let silence = self.cfg.lease.with_drift() + Self::SILENCE_MARGIN;
-        // A report is due by now, and a little late; after a takeover the worker may first have to
-        // give up on another node.
-        let due = self.cfg.report + Micros(self.cfg.report.0 / 4) + Micros::millis(1_500);
-        let unheard = Micros::millis(5_500);
+        let (due, longest) = (Self::report_due(self.cfg.report), Self::longest_quiet(self.cfg.report));
         // What nobody's worker can be heard by says nothing about the workers.
         let deaf = self.deaf();
         let back = self.absence.back();
@@ -709,6 +730,12 @@
             if !s.unsettled.is_empty() && self.cancelled.earliest(s.under_way()).is_some() {
                 self.ownership.raise_later(k, s.unsettled_since, now);
             }
+            if s.is_mute(now, tenure.since.max(back), longest, self.cfg.lease)
+                && let Some(r) = self.view.machine(*m).filter(|r| r.fitness < Fitness::Lost)
+                && self.rounds.mark(*m, Mark { fitness: Fitness::Lost, dead: r.dead })
+            {
+                tracing::info!(machine = %m, "mute: it answers commands, but no report arrives; takes no more work");
+            }
             let wordless = now.since(s.word.unwrap_or(tenure.since).max(back));
             if wordless <= due {
                 continue;
@@ -731,7 +758,7 @@
                 for b in &record.tasks {
                     self.rounds.clear(*m, b.attempt(), Outcome::Again, now);
                 }
-            } else if !deaf && fitness < Fitness::Lost && (s.word.is_some() || wordless > due + unheard) {
+            } else if !deaf && fitness < Fitness::Lost && (s.word.is_some() || wordless > longest) {
                 // Its reports may have gone elsewhere, or this process may be behind: it is asked. One whose address
                 // is not known (records keep no names, and it was never heard here) cannot be: without this it and
                 // its tasks would be waited for without end.
