--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -536,6 +536,7 @@
         }
         for ended in &touched.ended {
             self.served.note(ended);
+            self.on_job_gone(ended.job);
             if let Some(f) = ended.how {
                 self.users.remember(ended.job, f);
             }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -84,6 +84,8 @@
     lean: bool,
     /// The last full round had no room left to book anything, so the next one books before it clears.
     books_first: bool,
+    /// Ends of jobs in rounds without an answer: told in the log once the copy shows them.
+    unanswered_ends: BTreeMap<JobId, FinalRecord>,
     /// No planning before the copy has passed this revision.
     hold_epoch: u64,
     /// No planning before a read that began after this call.
@@ -237,6 +239,11 @@
     }
 }
 
+fn log_end(job: JobId, f: FinalRecord) {
+    let how = if f.cancelled { "cancelled" } else { "done" };
+    tracing::info!(%job, done = f.done, how, "ended");
+}
+
 impl Controller {
     /// How long small rounds are gathered for while a peer has more to write than its share.
     const GATHER: Micros = Micros::millis(800);
@@ -384,8 +391,8 @@
                 let mut touched = Touched::default();
                 self.view.apply(changes, &mut touched);
                 for (id, f) in round.ended {
-                    let how = if f.cancelled { "cancelled" } else { "done" };
-                    tracing::info!(job = %id, done = f.done, how, "ended");
+                    self.rounds.unanswered_ends.remove(&id);
+                    log_end(id, f);
                     self.users.remember(id, f);
                 }
                 self.on_touched_view(&touched);
@@ -402,8 +409,23 @@
                 self.counters.unknown += 1;
                 tracing::info!(claims = round.booked.len(), "the round had no answer");
                 self.rounds.hold_call = Some(self.next_call);
+                for (id, f) in round.ended {
+                    // The watch is mostly faster than the end of waiting.
+                    if self.view.jobs.contains_key(&id) {
+                        self.rounds.unanswered_ends.insert(id, f);
+                    } else {
+                        log_end(id, f);
+                    }
+                }
                 self.reader.want_barrier();
             }
         }
     }
+
+    /// A job has left the copy: if a round of this controller without an answer ended it, that is told now.
+    pub(super) fn on_job_gone(&mut self, id: JobId) {
+        if let Some(f) = self.rounds.unanswered_ends.remove(&id) {
+            log_end(id, f);
+        }
+    }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -214,7 +214,9 @@
             _ => {}
         }
     }
-    for _ in 0..2 + pick(2) {
+    // More of them at once than CI draws.
+    let more: u64 = std::env::var("MEETINGS").ok().map_or(0, |s| s.parse().unwrap());
+    for _ in 0..2 + pick(2) + more {
         let at = 15 + pick(100);
         let (n, other, m) = (pick(nodes), pick(nodes), 1 + pick(12));
         let span = 10 + pick(40);
