--- a/src/coordination/rounds/drafting.rs
+++ b/src/coordination/rounds/drafting.rs
@@ -4,7 +4,7 @@
 use crate::bookkeeping::amount::Amount;
 use crate::bookkeeping::fleet::core_price;
 use crate::bookkeeping::ids::{Attempt, JobId, MachineId, Slice, TaskId};
-use crate::bookkeeping::placement::{Claim, Groups, Slot, plan, preempt};
+use crate::bookkeeping::placement::{Ask, Claim, Groups, Slot, plan, preempt};
 use crate::bookkeeping::records::{Fitness, GroupRecord, Key};
 use crate::bookkeeping::view::Job;
 use crate::coordination::Controller;
@@ -292,6 +292,8 @@
             })
             .collect();
         let mut claims = plan(&mut slots, &mut asks, &mut groups, Self::CLAIMS);
+        let sets = |asks: &[Ask<'_>]| asks.iter().filter(|a| a.whole).map(|a| a.job).collect::<Vec<_>>();
+        let mut whole: BTreeSet<JobId> = sets(&asks).into_iter().collect();
         let number = self.view.latest;
         let attempt = |c: &Claim| Attempt { task: TaskId { job: c.job, index: c.index }, number };
         let mut booked = Vec::new();
@@ -319,6 +321,7 @@
                 for a in &mut asks {
                     a.owner = owners[a.owner];
                 }
+                whole.extend(sets(&asks));
                 let new = plan(&mut slots, &mut asks, &mut groups, Self::CLAIMS - claims.len());
                 // What of its team's limit was set aside for one that finds no room is for the others again.
                 vain.extend(asks.iter().map(|a| a.job).filter(|id| new.iter().all(|c| c.job != *id)));
@@ -330,7 +333,6 @@
                 claims.extend(new);
             }
         }
-        let whole: BTreeSet<JobId> = asks.iter().filter(|a| a.whole).map(|a| a.job).collect();
         for of_job in claims.chunk_by(|a, b| a.job == b.job) {
             let set: Vec<(MachineId, Attempt)> = of_job.iter().map(|c| (c.machine, attempt(c))).collect();
             if whole.contains(&of_job[0].job) {
--- a/src/coordination/rounds/patience.rs
+++ b/src/coordination/rounds/patience.rs
@@ -10,6 +10,9 @@
 use crate::coordination::Controller;
 use std::collections::HashMap;
 
+#[cfg(test)]
+mod tests;
+
 /// Since when each job has had tasks to place and none was booked, and how many there were.
 #[derive(Debug, Default)]
 pub struct Patience {
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -126,10 +126,11 @@
         self.unheeding >= 2 && self.unreachable
     }
 
-    /// Whether it answers commands, but none of its reports arrive: for longer than usual, or in a tenure since `tenure` not at
-    /// all for a lease. It may be looking for its owner; beyond that its session ends by itself, whatever it is told.
-    fn is_mute(&self, now: Micros, tenure: Micros, usual: Micros, lease: Micros) -> bool {
-        let (from, most) = self.last_report.map_or((tenure, lease), |t| (t, usual));
+    /// Whether it answers commands, but none of its reports arrive: for longer than usual, or since this process could hear it,
+    /// in a tenure in which it has not reported, for a lease. It may be looking for its owner; beyond that its session ends by
+    /// itself, whatever it is told.
+    fn is_mute(&self, now: Micros, since: Micros, usual: Micros, lease: Micros) -> bool {
+        let (from, most) = self.last_report.map_or((since, lease), |t| (t.max(since), usual));
         now.since(from) > most && self.word.is_some_and(|word| word > from)
     }
 
@@ -404,7 +405,8 @@
         // The first word of a machine may be a copy of a report of one that is gone. Who owns the slice for long
         // remembers those.
         let copies = self.cfg.lease * 3;
-        let mute = s.is_mute(now, tenure.since, Self::longest_quiet(self.cfg.report), self.cfg.lease);
+        let since = tenure.since.max(self.absence.back());
+        let mute = s.is_mute(now, since, Self::longest_quiet(self.cfg.report), self.cfg.lease);
         match self.view.machine(report.machine) {
             None if !s.heard && now.since(tenure.since) < copies => {}
             None => self.rounds.add(report.machine),
