--- a/tests/runner/looks.rs
+++ b/tests/runner/looks.rs
@@ -85,7 +85,8 @@
         }
     }
 
-    fn share_of(&self, of: &[(f64, u64)]) -> Option<f64> {
+    /// The largest of some shares that hold now.
+    pub(super) fn share_of(&self, of: &[(f64, u64)]) -> Option<f64> {
         of.iter().filter(|(_, until)| self.now < *until).map(|(share, _)| *share).reduce(f64::max)
     }
 
@@ -138,9 +139,7 @@
         if self.share_of(&self.close_looks).is_some() {
             self.looks(job);
         }
-        if let Some(share) = self.share_of(&self.cancel_at_end)
-            && self.dice() < share
-        {
+        if self.drawn(|w| &w.cancel_at_end) {
             self.count("at-end");
             let at = self.now + (self.dice() * 4e5) as u64;
             self.at(at, Happening::Look { job, kind: "abort", node: None });
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -667,8 +667,7 @@
 
     /// Whether something of which a share is troubled now is.
     fn drawn(&mut self, of: impl Fn(&World) -> &[(f64, u64)]) -> bool {
-        let now = self.now;
-        let share = of(self).iter().filter(|(_, until)| now < *until).map(|(share, _)| *share).fold(0.0, f64::max);
+        let share = self.share_of(of(self)).unwrap_or(0.0);
         share > 0.0 && self.dice() < share
     }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -87,6 +87,26 @@
 own alone [{"name": "alone", "require": "not beside lane {renders, plain}"}]
 "#;
 
+/// A job of a day of meetings, of one of these teams and with one of these extras.
+fn drawn_job(
+    pick: &mut impl FnMut(u64) -> u64,
+    at: u64,
+    job: u64,
+    (pieces, run): (u64, u64),
+    teams: &[&str],
+    extras: &[&str],
+) -> String {
+    let (urgency, lane) = [("high", "urgent"), ("standard", "lane"), ("low", "idle")][pick(3) as usize];
+    let team = teams[pick(teams.len() as u64) as usize];
+    let extra = extras[pick(extras.len() as u64) as usize];
+    format!(
+        "at {at} submit req-{job:06} pieces={pieces} cores={} run={run} team={team} urgency={urgency} lane={lane} image=i{} due={}{extra}\n",
+        1 + pick(3),
+        pick(3),
+        60 + run + pick(200),
+    )
+}
+
 /// A day on which two or three meetings of troubles overlap, drawn from a seed: long and short tasks, jobs of two or three
 /// of them, cancellations at any time.
 fn met(seed: u64) -> Script {
@@ -108,15 +128,8 @@
         let (pieces, run) =
             [(2 + pick(2), 20 + pick(100)), (1 + pick(24), 40 + pick(80)), (1 + pick(12), 2 + pick(20))]
                 [pick(3) as usize];
-        let (urgency, lane) = [("high", "urgent"), ("standard", "lane"), ("low", "idle")][pick(3) as usize];
-        let team = ["red", "free", "free"][pick(3) as usize];
-        let extra = ["", "", " bookmark=5 stash=2", " spot=no", " shape=group"][pick(5) as usize];
-        text += &format!(
-            "at {at} submit req-{job:06} pieces={pieces} cores={} run={run} team={team} urgency={urgency} lane={lane} image=i{} due={}{extra}\n",
-            1 + pick(3),
-            pick(3),
-            60 + run + pick(200),
-        );
+        let extras = ["", "", " bookmark=5 stash=2", " spot=no", " shape=group"];
+        text += &drawn_job(&mut pick, at, job, (pieces, run), &["red", "free", "free"], &extras);
         match pick(9) {
             0..4 => {
                 let to = [String::new(), format!(" node=n{}", pick(nodes))][pick(2) as usize].clone();
@@ -199,15 +212,8 @@
             (1 + pick(12), 2 + pick(20)),
             (1, 1 + pick(9)),
         ][pick(4) as usize];
-        let (urgency, lane) = [("high", "urgent"), ("standard", "lane"), ("low", "idle")][pick(3) as usize];
-        let team = ["red", "blue", "free"][pick(3) as usize];
-        let extra = ["", "", " bookmark=5 stash=2", " spot=no", " shape=group", " yard=a"][pick(6) as usize];
-        text += &format!(
-            "at {at} submit req-{job:06} pieces={pieces} cores={} run={run} team={team} urgency={urgency} lane={lane} image=i{} due={}{extra}\n",
-            1 + pick(3),
-            pick(3),
-            60 + run + pick(200),
-        );
+        let extras = ["", "", " bookmark=5 stash=2", " spot=no", " shape=group", " yard=a"];
+        text += &drawn_job(&mut pick, at, job, (pieces, run), &["red", "blue", "free"], &extras);
         match pick(9) {
             0..3 => text += &format!("at {} abort req-{job:06}\n", at + pick(70)),
             3 => text += &format!("at {at} submit req-{:06} pieces=4 cores=1 run=8 awaits=req-{job:06}\n", 100 + job),
