Stand-ins of the state service, cloud, workers and submissions move to crates/emulator

Cause: scale runs over real connections need the parties that the scenario runner drives in simulated time. Change: one copy serves both. Lists of the cloud come in pages, the state service keeps 10,000 changes and answers 410 beyond, and a request beyond its limits is noted by the stand-in and judged by the runner, as strictly as before.

--- a/tests/runner/cloud.rs
+++ b/crates/emulator/src/standins/cloud.rs
@@ -1,15 +1,50 @@
 //! A stand-in of the cloud, by its protocol.
 
-use super::script::TypeSpec;
+use super::query;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
+/// The most machines that one list names.
+const LIST_LIMIT: usize = 500;
+
+/// A type of machine, and how many of it there are in each of its zones.
+#[derive(Clone, Debug)]
+pub struct TypeSpec {
+    /// Its name.
+    pub name: String,
+    /// Cores.
+    pub cores: f64,
+    /// Memory in GB.
+    pub mem: f64,
+    /// Boot time in seconds, nominal.
+    pub boot: f64,
+    /// Price an hour.
+    pub price: f64,
+    /// Price an hour as a spot machine.
+    pub spot_price: f64,
+    /// Ordinary machines in each zone.
+    pub count: u32,
+    /// Spot machines in each zone.
+    pub spot: u32,
+    /// Share of the boots that never end.
+    pub stuck: f64,
+    /// Zones.
+    pub zones: Vec<String>,
+}
+
+/// A machine that was rented.
 pub struct Host {
+    /// Its type, by its place among the cloud's types.
     pub build: usize,
+    /// Zone.
     pub yard: String,
+    /// Spot.
     pub spot: bool,
+    /// When it was rented, in microseconds.
     pub rented: u64,
+    /// When it is up, in microseconds; never if absent.
     pub up_at: Option<u64>,
+    /// When it went, in microseconds.
     pub gone_at: Option<u64>,
     /// It was returned while its zone was cut off.
     pub in_vain: bool,
@@ -17,11 +52,14 @@
     pub hired_in_vain: bool,
 }
 
+/// The cloud's interface.
 pub struct Cloud {
     types: Vec<TypeSpec>,
+    /// All machines that were ever rented, by number.
     pub hosts: BTreeMap<u64, Host>,
     hires: BTreeMap<String, Value>,
     lag: u64,
+    /// The interface is down until then, in microseconds.
     pub out_until: u64,
     /// Zones without power, where nothing is to be had.
     pub dark: Vec<(String, u64)>,
@@ -31,6 +69,7 @@
     pub slow: (f64, u64),
 }
 
+/// A machine's name.
 pub fn name(id: u64) -> String {
     format!("i-{id:06}")
 }
@@ -45,6 +84,7 @@
 }
 
 impl Cloud {
+    /// A cloud with these types, whose lists lag by `lag` microseconds and up to twice that.
     pub fn new(types: Vec<TypeSpec>, lag: u64) -> Cloud {
         Cloud {
             types,
@@ -58,6 +98,7 @@
         }
     }
 
+    /// A machine's type.
     pub fn type_of(&self, host: u64) -> &TypeSpec {
         &self.types[self.hosts[&host].build]
     }
@@ -100,23 +141,32 @@
             }
             ("GET", "/hosts") => {
                 let as_of = now.saturating_sub((self.lag as f64 * 2.0 * dice()) as u64);
-                let hosts: Vec<Value> = self
-                    .hosts
-                    .iter()
-                    .filter(|(_, h)| h.rented <= as_of && h.gone_at.is_none_or(|g| g > as_of))
-                    .map(|(i, h)| {
-                        let up = h.up_at.is_some_and(|u| u <= as_of);
-                        json!({"nameId": name(*i), "endpoint": "", "build": self.types[h.build].name, "yard": h.yard,
-                            "loaners": h.spot, "status": if up { "running" } else { "starting" },
-                            "ageS": (as_of - h.rented) as f64 / 1e6})
-                    })
-                    .collect();
-                (200, json!({"hosts": hosts, "more": false}))
+                let after = query(path, "after").and_then(id).unwrap_or(0);
+                let most = query(path, "most").and_then(|m| m.parse().ok()).unwrap_or(LIST_LIMIT);
+                self.list(as_of, after, most.min(LIST_LIMIT))
             }
             _ => (400, json!({})),
         }
     }
 
+    /// The machines after one, as they were at a time.
+    fn list(&self, as_of: u64, after: u64, most: usize) -> (u16, Value) {
+        let there = |h: &Host| h.rented <= as_of && h.gone_at.is_none_or(|g| g > as_of);
+        let mut listed = self.hosts.range(after + 1..).filter(|(_, h)| there(h));
+        let hosts: Vec<Value> = listed
+            .by_ref()
+            .take(most)
+            .map(|(i, h)| {
+                let up = h.up_at.is_some_and(|u| u <= as_of);
+                json!({"nameId": name(*i), "endpoint": "", "build": self.types[h.build].name, "yard": h.yard,
+                    "loaners": h.spot, "status": if up { "running" } else { "starting" },
+                    "ageS": (as_of - h.rented) as f64 / 1e6})
+            })
+            .collect();
+        let more = listed.next().is_some();
+        (200, json!({"hosts": hosts, "more": more}))
+    }
+
     fn hire(&mut self, now: u64, body: &Value, dice: &mut dyn FnMut() -> f64) -> (u16, Value) {
         let Some(request) = body["hire"].as_str() else { return (400, json!({})) };
         if let Some(answer) = self.hires.get(request) {
--- a/tests/runner/state.rs
+++ b/crates/emulator/src/standins/state.rs
@@ -1,7 +1,16 @@
 //! A stand-in of the state service, by its protocol.
 
+use super::query;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+
+/// How many changes the service keeps for watches.
+const LOG_LIMIT: usize = 10_000;
+/// Bytes of a transaction.
+const TXN_BYTES: usize = 64 * 1024;
+/// Conditions for each change that a transaction may have.
+const CONDITIONS_FOR_A_CHANGE: usize = 4;
+const OVERSIZED: &str = "too large a transaction";
 
 struct Item {
     value: Value,
@@ -16,19 +25,51 @@
     until: u64,
 }
 
+/// A change, as watches see it.
+struct LogEntry {
+    stamp: u64,
+    key: String,
+    /// None: it was removed.
+    value: Option<Value>,
+}
+
+/// What a state service takes.
+#[derive(Clone, Copy, Debug)]
+pub struct StateConfig {
+    /// Changes of a transaction.
+    pub txn_ops: usize,
+    /// Bytes of a value.
+    pub value_bytes: usize,
+    /// Requests a second.
+    pub rps: f64,
+    /// Changes a second.
+    pub write_rps: f64,
+    /// Items of a page.
+    pub page: usize,
+}
+
+/// The state service.
 pub struct State {
     items: BTreeMap<String, Item>,
-    log: Vec<(u64, String, Option<Value>)>,
+    log: VecDeque<LogEntry>,
+    /// Revision of the newest change that the log has dropped.
+    dropped: u64,
     epoch: u64,
     leases: BTreeMap<u64, (u64, u64)>,
     next_lease: u64,
     watches: Vec<Watch>,
+    /// It is out until then, in microseconds.
     pub out_until: u64,
+    /// Transactions carried out.
     pub commits: u64,
     txn_ops: usize,
     value_bytes: usize,
+    page: usize,
+    /// Requests that no client may send: beyond limits that have always held.
+    pub violations: Vec<String>,
     requests: Bucket,
     changes: Bucket,
+    /// Requests refused for their rate.
     pub throttled: u64,
     /// Transactions that were refused for the limits that fell.
     pub refused: u64,
@@ -60,26 +101,25 @@
     }
 }
 
-fn query<'a>(path: &'a str, key: &str) -> Option<&'a str> {
-    let (_, q) = path.split_once('?')?;
-    q.split('&').find_map(|p| p.split_once('=').filter(|(k, _)| *k == key).map(|(_, v)| v))
-}
-
 impl State {
-    pub fn new(txn_ops: usize, value_bytes: usize, rates: (f64, f64)) -> State {
+    /// An empty service.
+    pub fn new(config: StateConfig) -> State {
         State {
             items: BTreeMap::new(),
-            log: Vec::new(),
+            log: VecDeque::new(),
+            dropped: 0,
             epoch: 0,
             leases: BTreeMap::new(),
             next_lease: 1,
             watches: Vec::new(),
             out_until: 0,
             commits: 0,
-            txn_ops,
-            value_bytes,
-            requests: Bucket::new(rates.0),
-            changes: Bucket::new(rates.1),
+            txn_ops: config.txn_ops,
+            value_bytes: config.value_bytes,
+            page: config.page,
+            violations: Vec::new(),
+            requests: Bucket::new(config.rps),
+            changes: Bucket::new(config.write_rps),
             throttled: 0,
             refused: 0,
             fell: false,
@@ -137,41 +177,55 @@
             }
             for k in keys {
                 self.items.remove(&k);
-                self.log.push((self.epoch, k, None));
+                self.note(k, None);
             }
         }
         let due: Vec<usize> = (0..self.watches.len())
             .filter(|i| {
                 let w = &self.watches[*i];
                 w.until <= now
-                    || self.log.iter().rev().take_while(|l| l.0 > w.after).any(|l| l.1.starts_with(&w.prefix))
+                    || self.log.iter().rev().take_while(|l| l.stamp > w.after).any(|l| l.key.starts_with(&w.prefix))
             })
             .collect();
         due.into_iter()
             .rev()
             .map(|i| {
                 let w = self.watches.swap_remove(i);
-                (w.id, 200, self.changes(&w.prefix, w.after))
+                let (status, body) = self.changes(&w.prefix, w.after);
+                (w.id, status, body)
             })
             .collect()
     }
 
+    /// When a lease or a watch ends next, in microseconds.
     pub fn next_deadline(&self) -> Option<u64> {
         let leases = self.leases.values().map(|(_, e)| *e);
         leases.chain(self.watches.iter().map(|w| w.until)).min()
     }
 
-    fn changes(&self, prefix: &str, after: u64) -> Value {
+    /// Puts a change at the end of the log, and drops what it no longer keeps.
+    fn note(&mut self, key: String, value: Option<Value>) {
+        self.log.push_back(LogEntry { stamp: self.epoch, key, value });
+        while self.log.len() > LOG_LIMIT {
+            self.dropped = self.log.pop_front().map_or(self.dropped, |l| l.stamp);
+        }
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> (u16, Value) {
+        if after < self.dropped {
+            return (410, json!({"error": "too old"}));
+        }
+        let first = self.log.partition_point(|l| l.stamp <= after);
         let log: Vec<Value> = self
             .log
-            .iter()
-            .filter(|(s, k, _)| *s > after && k.starts_with(prefix))
-            .map(|(s, k, v)| match v {
-                Some(v) => json!({"write": k, "value": v, "stamp": s}),
-                None => json!({"remove": k, "stamp": s}),
+            .range(first..)
+            .filter(|l| l.key.starts_with(prefix))
+            .map(|l| match &l.value {
+                Some(v) => json!({"write": l.key, "value": v, "stamp": l.stamp}),
+                None => json!({"remove": l.key, "stamp": l.stamp}),
             })
             .collect();
-        json!({"epoch": self.epoch, "log": log})
+        (200, json!({"epoch": self.epoch, "log": log}))
     }
 
     /// Answers a request; a watch may be answered later.
@@ -197,11 +251,12 @@
                     .items
                     .iter()
                     .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > after)
-                    .take(most.min(40) + 1)
+                    .take(most.min(self.page) + 1)
                     .collect();
-                let more = found.len() > 40;
+                let more = found.len() > most.min(self.page);
+                let shown = found.iter().take(most.min(self.page));
                 let items: Vec<Value> =
-                    found.iter().take(40).map(|(k, i)| json!({"key": k, "value": i.value, "stamp": i.stamp})).collect();
+                    shown.map(|(k, i)| json!({"key": k, "value": i.value, "stamp": i.stamp})).collect();
                 (200, json!({"items": items, "more": more, "epoch": self.epoch}))
             }
             ("GET", "/changes") => {
@@ -212,7 +267,7 @@
                     self.watches.push(Watch { id, prefix, after, until: now + wait * 1000 });
                     return None;
                 }
-                (200, self.changes(&prefix, after))
+                self.changes(&prefix, after)
             }
             ("GET", _) => {
                 let key = route.strip_prefix("/kv/")?;
@@ -243,21 +298,33 @@
         })
     }
 
+    /// Which limit a transaction is beyond.
+    fn beyond_limits(&self, body: &Value, when: &[Value], then: &[Value]) -> Option<&'static str> {
+        if then.len() > self.txn_ops {
+            return Some("too many changes");
+        }
+        if when.len() > self.txn_ops * CONDITIONS_FOR_A_CHANGE {
+            return Some("too many conditions");
+        }
+        if then.iter().any(|t| t["value"].to_string().len() > self.value_bytes) {
+            return Some("too large a value");
+        }
+        (body.to_string().len() > TXN_BYTES).then_some(OVERSIZED)
+    }
+
     fn txn(&mut self, body: &Value) -> (u16, Value) {
         let none = Vec::new();
         let when = body["when"].as_array().unwrap_or(&none);
         let then = body["then"].as_array().unwrap_or(&none);
-        let too_large = |t: &Value| t["value"].to_string().len() > self.value_bytes;
-        if self.fell && (then.len() > self.txn_ops || when.len() > self.txn_ops * 4 || then.iter().any(too_large)) {
+        if let Some(problem) = self.beyond_limits(body, when, then) {
             self.refused += 1;
-            return (400, json!({"error": "too large"}));
+            if !self.fell || problem == OVERSIZED {
+                // What the real service would refuse must never be sent, unless its limits fell.
+                self.violations.push(format!("{problem}: {body}"));
+            }
+            return (400, json!({"error": problem}));
         }
-        // What the real service would refuse must never be sent, unless its limits fell.
-        assert!(then.len() <= self.txn_ops, "too many changes: {body}");
-        assert!(when.len() <= self.txn_ops * 4, "too many conditions: {body}");
-        assert!(body.to_string().len() <= 64 * 1024, "too large a transaction");
         for t in then {
-            assert!(t["value"].to_string().len() <= self.value_bytes, "too large a value: {t}");
             if let Some(p) = t["permit"].as_u64()
                 && !self.leases.contains_key(&p)
             {
@@ -278,13 +345,13 @@
         for t in then {
             if let Some(k) = t["write"].as_str() {
                 let value = t["value"].clone();
-                self.log.push((self.epoch, k.to_owned(), Some(value.clone())));
+                self.note(k.to_owned(), Some(value.clone()));
                 let item = Item { value, stamp: self.epoch, permit: t["permit"].as_u64() };
                 self.items.insert(k.to_owned(), item);
             } else if let Some(k) = t["remove"].as_str()
                 && self.items.remove(k).is_some()
             {
-                self.log.push((self.epoch, k.to_owned(), None));
+                self.note(k.to_owned(), None);
             }
         }
         (200, json!({"epoch": self.epoch}))
--- a/tests/runner/worker.rs
+++ b/crates/emulator/src/standins/worker.rs
@@ -1,75 +1,143 @@
 //! A stand-in of a worker, by its protocol.
 
+use super::cloud::TypeSpec;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
+/// How long a worker waits for the answer to a report, in microseconds.
+pub const ANSWER_LIMIT: u64 = 4_000_000;
+/// How long a worker waits before it tries the next node, in microseconds.
+pub const NEXT_NODE_PAUSE: u64 = 1_000_000;
+/// How long after a redirection a worker reports to the node that it was sent to, in microseconds.
+const REDIRECT_PAUSE: u64 = 100_000;
+/// Shortest time between two reports, in microseconds.
+const REPORT_SPACING: u64 = 500_000;
+
+/// A task: its job's number, and its own.
 pub type Task = (u64, u32);
 
+/// A task's state on its machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// Waits for its image.
     Fetching,
+    /// Runs.
     Running,
+    /// Saves.
     Flushing,
+    /// Ended, with its cause.
     Exited(&'static str),
 }
 
+/// An attempt on a machine.
 #[derive(Clone, Debug)]
 pub struct Piece {
+    /// The attempt's number.
     pub number: u64,
+    /// Its state.
     pub phase: Phase,
+    /// When the state ends by itself, in microseconds.
     pub until: u64,
 }
 
 /// What a job's tasks are like; users upload it.
 #[derive(Clone, Debug)]
 pub struct JobInfo {
+    /// Cores of a task.
     pub cores: f64,
+    /// Memory of a task in GB.
     pub mem: f64,
+    /// Run time in microseconds.
     pub run: u64,
+    /// Image.
     pub image: String,
+    /// What fetching it takes, in seconds.
     pub size: f64,
+    /// Number of tasks.
     pub pieces: u32,
+    /// Its tasks run until the job is cancelled.
     pub standing: bool,
     /// All of its tasks run at once.
     pub together: bool,
+    /// Its tasks fail.
     pub fails: bool,
+    /// Its tasks save when they are stopped.
     pub saves: bool,
+    /// What saving takes, in seconds.
     pub stash: f64,
 }
 
 /// What a worker did, for the checker.
 #[derive(Clone, Debug)]
 pub enum Deed {
+    /// A task runs.
     Started(Task),
+    /// It ended, with its cause.
     Ended(Task, &'static str),
 }
 
+/// Where a worker reports next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Redirect {
+    /// To the same node.
+    Stay,
+    /// To this node.
+    To(usize),
+    /// To the next node, after a pause.
+    Next,
+}
+
+/// A worker.
 pub struct Worker {
+    /// Its machine's number.
     pub id: u64,
+    /// Its address, as it tells it.
+    pub endpoint: String,
+    /// Type.
     pub build: String,
+    /// Zone.
     pub yard: String,
+    /// Spot.
     pub spot: bool,
+    /// Cores.
     pub cores: f64,
+    /// Memory in GB.
     pub mem: f64,
+    /// Session.
     pub shift: u64,
+    /// Number of the last report.
     pub tally: u64,
+    /// Highest token seen.
     pub baton: u64,
+    /// When the cloud takes the machine, in microseconds.
     pub recall_at: Option<u64>,
+    /// Attempts on the machine.
     pub pieces: BTreeMap<(Task, u64), Piece>,
+    /// Images that it has.
     pub images: Vec<String>,
+    /// When the report was sent that renewed the lease, in microseconds.
     pub renewed: u64,
+    /// The lease's length in microseconds.
     pub lease: u64,
+    /// It hangs until then, in microseconds.
     pub hung_until: u64,
+    /// All of its tasks fail.
     pub faulty: bool,
+    /// The node that it reports to.
     pub node: usize,
     /// The report under way: its number, when it was sent, its session.
     pub waiting: Option<(u64, u64, u64)>,
+    /// When the next periodic report is due, in microseconds.
     pub next_report: u64,
+    /// When the last report was sent, in microseconds.
     pub last_report: u64,
+    /// Something changed since the last report.
     pub changed: bool,
+    /// Leases that ended with tasks on the machine.
     pub lost_leases: u64,
 }
 
+/// A task's name.
 pub fn task_name(t: Task) -> String {
     format!("req-{:06}/{}", t.0, t.1)
 }
@@ -80,6 +148,123 @@
 }
 
 impl Worker {
+    /// A worker that has just begun: the machine's number, its address, type, zone and kind, its lease in microseconds, the
+    /// node that it tries first, and the time in microseconds.
+    pub fn new(
+        id: u64,
+        endpoint: String,
+        machine: &TypeSpec,
+        (yard, spot): (String, bool),
+        lease: u64,
+        node: usize,
+        now: u64,
+    ) -> Worker {
+        Worker {
+            id,
+            endpoint,
+            build: machine.name.clone(),
+            yard,
+            spot,
+            cores: machine.cores,
+            mem: machine.mem,
+            shift: 1,
+            tally: 0,
+            baton: 0,
+            recall_at: None,
+            pieces: BTreeMap::new(),
+            images: Vec::new(),
+            renewed: now,
+            lease,
+            hung_until: 0,
+            faulty: false,
+            node,
+            waiting: None,
+            next_report: now,
+            last_report: 0,
+            changed: false,
+            lost_leases: 0,
+        }
+    }
+
+    /// Sends a report if one is due: its body. `interval` until the next one, in microseconds.
+    pub fn due_report(&mut self, now: u64, interval: u64) -> Option<Vec<u8>> {
+        if self.waiting.is_some() || now < self.report_at() {
+            return None;
+        }
+        self.changed = false;
+        self.last_report = now;
+        self.next_report = now + interval;
+        let body = self.report(now).to_string().into_bytes();
+        self.waiting = Some((self.tally, now, self.shift));
+        Some(body)
+    }
+
+    /// Takes the answer to the report that was sent at `sent` in session `shift`. Nodes are called `n0`, `n1` and so on.
+    pub fn take_answer(
+        &mut self,
+        now: u64,
+        (sent, shift): (u64, u64),
+        (status, body): (u16, &[u8]),
+        jobs: &BTreeMap<u64, JobInfo>,
+        deeds: &mut Vec<Deed>,
+    ) -> Redirect {
+        self.check_lease(now, deeds);
+        self.waiting = None;
+        let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+        match status {
+            200 => {
+                let baton = body["baton"].as_u64().unwrap_or(0);
+                if baton >= self.baton && shift == self.shift {
+                    self.changed |= baton > self.baton;
+                    self.baton = baton;
+                    self.renewed = self.renewed.max(sent);
+                    self.execute(now, &body["orders"], jobs, deeds);
+                }
+                Redirect::Stay
+            }
+            421 => {
+                let to = body["answerTo"].as_str().and_then(|n| n.strip_prefix('n')?.parse::<usize>().ok());
+                match to.filter(|n| *n != self.node) {
+                    Some(n) => {
+                        self.node = n;
+                        self.next_report = now + REDIRECT_PAUSE;
+                        Redirect::To(n)
+                    }
+                    None => Redirect::Next,
+                }
+            }
+            _ => Redirect::Next,
+        }
+    }
+
+    /// Goes on to the next node, after `wait` microseconds.
+    pub fn try_next_node(&mut self, now: u64, nodes: usize, wait: u64) {
+        self.waiting = None;
+        self.node = (self.node + 1) % nodes;
+        self.next_report = now + wait;
+        self.changed = false;
+    }
+
+    /// Takes a direct command; `None` if it lacks its token or its session.
+    pub fn take_command(
+        &mut self,
+        now: u64,
+        body: &[u8],
+        jobs: &BTreeMap<u64, JobInfo>,
+        deeds: &mut Vec<Deed>,
+    ) -> Option<(u16, Value)> {
+        self.check_lease(now, deeds);
+        let body: Value = serde_json::from_slice(body).ok()?;
+        let (baton, shift) = (body["baton"].as_u64()?, body["shift"].as_u64()?);
+        let good = baton >= self.baton && shift == self.shift;
+        if good {
+            self.changed |= baton > self.baton;
+            self.baton = self.baton.max(baton);
+            self.execute(now, &body["orders"], jobs, deeds);
+        }
+        Some((if good { 200 } else { 409 }, self.report(now)))
+    }
+
     /// Cores and memory that are free beside all that has not ended.
     pub fn free(&self, jobs: &BTreeMap<u64, JobInfo>) -> (f64, f64) {
         let live = self.pieces.iter().filter(|(_, p)| !matches!(p.phase, Phase::Exited(_)));
@@ -109,7 +294,7 @@
                 v
             })
             .collect();
-        json!({"host": super::cloud::name(self.id), "endpoint": format!("10.1.0.{}:9000", self.id),
+        json!({"host": super::cloud::name(self.id), "endpoint": self.endpoint,
             "build": self.build, "yard": self.yard, "loaners": self.spot, "shift": self.shift, "tally": self.tally,
             "baton": self.baton, "pieces": pieces,
             "recallS": self.recall_at.map(|r| r.saturating_sub(now) as f64 / 1e6)})
@@ -129,6 +314,7 @@
         self.changed = true;
     }
 
+    /// Ends all tasks.
     pub fn kill_all(&mut self, deeds: &mut Vec<Deed>) {
         for ((t, _), p) in std::mem::take(&mut self.pieces) {
             if Self::on_machine(&p) {
@@ -235,6 +421,6 @@
 
     /// When the next report is due: sooner if something changed, but not within half a second.
     pub fn report_at(&self) -> u64 {
-        if self.changed { self.next_report.min(self.last_report + 500_000) } else { self.next_report }
+        if self.changed { self.next_report.min(self.last_report + REPORT_SPACING) } else { self.next_report }
     }
 }
--- a/tests/runner/machines.rs
+++ b/tests/runner/machines.rs
@@ -2,11 +2,10 @@
 
 use super::check::MachineInfo;
 use super::script::Party;
-use super::worker::{Deed, Worker};
+use super::worker::{ANSWER_LIMIT, Deed, NEXT_NODE_PAUSE, Redirect, Worker};
 use super::{Ask, Happening, Message, World};
 use cometlead::coordination::CallId;
 use serde_json::Value;
-use std::collections::BTreeMap;
 
 impl World {
     pub(super) fn after_cloud(&mut self, before: &[u64]) {
@@ -46,19 +45,10 @@
             self.at(until + 2_000, Happening::Deliver(Box::new(late)));
             return None;
         }
-        w.check_lease(now, deeds);
-        let v: Value = serde_json::from_slice(body).ok()?;
-        let (baton, shift) = (v["baton"].as_u64()?, v["shift"].as_u64()?);
-        let good = baton >= w.baton && shift == w.shift;
-        if good {
-            w.changed |= baton > w.baton;
-            w.baton = w.baton.max(baton);
-            w.execute(now, &v["orders"], &self.jobs, deeds);
-        }
-        let report = w.report(now);
+        let answer = w.take_command(now, body, &self.jobs, deeds)?;
         let next = w.next_deadline();
         self.at(next, Happening::Worker(machine));
-        Some((if good { 200 } else { 409 }, report))
+        Some(answer)
     }
 
     pub(super) fn deeds(&mut self, machine: u64, deeds: Vec<Deed>) {
@@ -98,12 +88,7 @@
         }
         w.advance(now, &self.jobs, &mut deeds);
         let mut message = None;
-        if w.waiting.is_none() && now >= w.report_at() {
-            w.changed = false;
-            w.last_report = now;
-            w.next_report = now + (report as f64 * jitter) as u64;
-            let body = w.report(now).to_string().into_bytes();
-            w.waiting = Some((w.tally, now, w.shift));
+        if let Some(body) = w.due_report(now, (report as f64 * jitter) as u64) {
             let (node, sent) = (w.node % nodes, now);
             message = Some((node, Message::Report { machine, node, sent, body }));
         }
@@ -111,7 +96,7 @@
         self.at(next.max(now + 1_000), Happening::Worker(machine));
         self.deeds(machine, deeds);
         if let Some((node, m)) = message {
-            self.at(now + 4_000_000, Happening::WorkerTimeout(machine, now));
+            self.at(now + ANSWER_LIMIT, Happening::WorkerTimeout(machine, now));
             if self.drawn(|w| &w.late_reports) {
                 let after = 2_000_000 + (self.dice() * self.script.lease * 2.5e6) as u64;
                 self.at(now + after, Happening::Deliver(Box::new(m.clone())));
@@ -127,10 +112,7 @@
         let now = self.now;
         let nodes = self.script.nodes;
         if let Some(w) = self.workers.get_mut(&machine) {
-            w.waiting = None;
-            w.node = (w.node + 1) % nodes;
-            w.next_report = now + wait;
-            w.changed = false;
+            w.try_next_node(now, nodes, wait);
             self.at(now + wait, Happening::Worker(machine));
         }
     }
@@ -139,43 +121,16 @@
         let now = self.now;
         let Some(w) = self.workers.get_mut(&machine) else { return };
         // A hanging machine takes answers when it goes on; they are too old by then.
-        if now < w.hung_until || w.waiting.is_none_or(|(_, s, _)| s != sent) || now > sent + 4_000_000 {
+        if now < w.hung_until || w.waiting.is_none_or(|(_, s, _)| s != sent) || now > sent + ANSWER_LIMIT {
             return;
         }
         let mut deeds = Vec::new();
-        w.check_lease(now, &mut deeds);
-        w.waiting = None;
-        match status {
-            200 => {
-                let v: Value = serde_json::from_slice(body).expect("orders");
-                let baton = v["baton"].as_u64().unwrap_or(0);
-                if baton >= w.baton && shift == w.shift {
-                    w.changed |= baton > w.baton;
-                    w.baton = baton;
-                    w.renewed = w.renewed.max(sent);
-                    w.execute(now, &v["orders"], &self.jobs, &mut deeds);
-                }
-            }
-            421 => {
-                let v: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
-                let to = v["answerTo"].as_str().and_then(|n| n.strip_prefix('n')?.parse::<usize>().ok());
-                match to.filter(|n| *n != w.node) {
-                    Some(n) => {
-                        w.node = n;
-                        w.next_report = now + 100_000;
-                    }
-                    None => {
-                        self.deeds(machine, deeds);
-                        return self.next_node(machine, 1_000_000);
-                    }
-                }
-            }
-            _ => {
-                self.deeds(machine, deeds);
-                return self.next_node(machine, 1_000_000);
-            }
-        }
+        let redirect = w.take_answer(now, (sent, shift), (status, body), &self.jobs, &mut deeds);
         let next = w.next_deadline();
+        if redirect == Redirect::Next {
+            self.deeds(machine, deeds);
+            return self.next_node(machine, NEXT_NODE_PAUSE);
+        }
         self.at(next, Happening::Worker(machine));
         self.deeds(machine, deeds);
     }
@@ -189,30 +144,9 @@
         let (yard, spot) = (host.yard.clone(), host.spot);
         let info = MachineInfo { build: t.name.clone(), yard: yard.clone(), spot };
         let node = (i as usize * 7) % self.script.nodes;
-        let w = Worker {
-            id: i,
-            build: t.name.clone(),
-            yard,
-            spot,
-            cores: t.cores,
-            mem: t.mem,
-            shift: 1,
-            tally: 0,
-            baton: 0,
-            recall_at: None,
-            pieces: BTreeMap::new(),
-            images: Vec::new(),
-            renewed: self.now,
-            lease: (self.script.lease * 1e6) as u64,
-            hung_until: 0,
-            faulty: false,
-            node,
-            waiting: None,
-            next_report: self.now,
-            last_report: 0,
-            changed: false,
-            lost_leases: 0,
-        };
+        let endpoint = format!("10.1.0.{i}:9000");
+        let lease = (self.script.lease * 1e6) as u64;
+        let w = Worker::new(i, endpoint, t, (yard, spot), lease, node, self.now);
         self.workers.insert(i, w);
         self.infos.insert(i, info);
         self.at(self.now, Happening::Worker(i));
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -4,16 +4,13 @@
 //! crash and be cut off. The checker judges what the stand-in workers do and what users are told.
 
 pub mod check;
-pub mod cloud;
 pub mod laws;
 mod looks;
 mod machines;
 pub mod script;
-pub mod state;
 mod users;
 mod verdict;
 mod waiting;
-pub mod worker;
 
 use check::{Checker, MachineInfo};
 use cometlead::bookkeeping::records::{FIRST_LAYOUT, LAYOUT, is_ruled};
@@ -27,6 +24,7 @@
 use cometlead::protocol::user::{JobAnswer, UserAnswer, UserRequest, parse_submission};
 use cometlead::protocol::worker::{Report, ReportAnswer, elsewhere_body, orders_body};
 use cometlead_constraints::RuleSet;
+pub use cometlead_emulator::standins::{cloud, state, worker};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use script::{CopiesTo, Mode, Party, Script, Step};
@@ -266,7 +264,14 @@
             rng: StdRng::seed_from_u64(script.seed),
             nodes: (0..script.nodes).map(|_| None).collect(),
             lives: 0,
-            state: state::State::new(12, (script.value_kb * 1024.0) as usize, script.rates),
+            state: state::State::new(state::StateConfig {
+                txn_ops: 12,
+                value_bytes: (script.value_kb * 1024.0) as usize,
+                rps: script.rates.0,
+                write_rps: script.rates.1,
+                // Small pages, so that there are several on ordinary days.
+                page: 40,
+            }),
             cloud: cloud::Cloud::new(script.types.clone(), (script.lag * 1e6) as u64),
             workers: BTreeMap::new(),
             infos: BTreeMap::new(),
@@ -672,6 +677,7 @@
     }
 
     fn state_tick(&mut self) {
+        assert!(self.state.violations.is_empty(), "refused by the state service: {:?}", self.state.violations);
         for (id, status, body) in self.state.tick(self.now) {
             // Kept by its number in `happenings`, out of the queue.
             if let Some(Happening::Deliver(m)) = self.happenings.remove(&id)
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -1,5 +1,6 @@
 //! Scenario files: one statement a line, refused with its line number where it is not understood.
 
+pub use cometlead_emulator::standins::cloud::TypeSpec;
 use std::collections::BTreeMap;
 
 /// A party that a fault can name.
@@ -302,20 +303,6 @@
     Played(String, u64),
 }
 
-#[derive(Clone, Debug)]
-pub struct TypeSpec {
-    pub name: String,
-    pub cores: f64,
-    pub mem: f64,
-    pub boot: f64,
-    pub price: f64,
-    pub spot_price: f64,
-    pub count: u32,
-    pub spot: u32,
-    pub stuck: f64,
-    pub zones: Vec<String>,
-}
-
 #[derive(Clone, Debug)]
 pub struct Script {
     pub seed: u64,
--- a/tests/runner/users.rs
+++ b/tests/runner/users.rs
@@ -3,7 +3,7 @@
 use super::check::Asked;
 use super::worker::JobInfo;
 use super::{Happening, Message, User, World};
-use serde_json::json;
+use cometlead_emulator::standins::submission::Submission;
 use std::collections::BTreeMap;
 
 impl World {
@@ -32,13 +32,29 @@
             rules: f.get("rules").map(|name| self.script.own[name].clone()),
         };
         let shape = text("shape", "sweep");
-        let mut body = json!({"nameId": format!("req-{job:06}"), "lane": text("lane", "lane"), "crew": asked.team,
-            "shape": shape, "urgency": text("urgency", "standard"), "pieces": pieces, "cores": asked.cores,
-            "accelerators": 0, "memGb": real("mem", 1.0), "builds": builds, "yard": asked.yard,
-            "oneZone": asked.one_zone, "apart": asked.apart, "loaners": asked.spot, "bundle": text("image", "img"),
-            "sizeGb": real("size", 0.5), "guessS": real("guess", run), "bookmarkS": real("bookmark", 0.0),
-            "stashS": real("stash", 0.0), "dueS": f.get("due").map(|d| d.parse::<f64>().expect("a number")),
-            "awaits": awaits});
+        let submission = Submission {
+            job,
+            lane: asked.lane.clone(),
+            crew: asked.team.clone(),
+            shape: shape.clone(),
+            urgency: asked.urgency.clone(),
+            pieces,
+            cores: asked.cores,
+            mem: real("mem", 1.0),
+            builds,
+            yard: asked.yard.clone(),
+            one_zone: asked.one_zone,
+            apart: asked.apart,
+            spot: asked.spot,
+            image: asked.image.clone(),
+            size: real("size", 0.5),
+            guess: real("guess", run),
+            bookmark: real("bookmark", 0.0),
+            stash: real("stash", 0.0),
+            due: f.get("due").map(|d| d.parse::<f64>().expect("a number")),
+            awaits,
+        };
+        let mut body = submission.body();
         if let Some(rules) = &asked.rules {
             body["rules"] = rules.clone();
         }
