Rounds book something however many teams wait

Cause: a round kept a change for the usage record of each slice with waiting jobs. Where a controller's teams of more slices waited than a transaction has changes (64 slices among three controllers, twelve changes) none was left for groups, and nothing was booked at all. Change: a third of the changes left stays for groups; claims that then find no change left come in the next round.

--- a/src/coordination/rounds/drafting.rs
+++ b/src/coordination/rounds/drafting.rs
@@ -214,6 +214,9 @@
     /// that finds no machine must not hold it from the next.
     const PATIENT_PASSES: usize = 6;
 
+    /// One in so many of the changes left is for groups, however many usage records are to be written.
+    const GROUPS_PART: usize = 3;
+
     /// Plans on the copy as the draft would leave it, and books what the draft can take; of the own
     /// jobs, if `at_once`, only those that must start at once.
     pub(super) fn book(&self, draft: &mut Draft<'_>, at_once: bool) -> Vec<(Claim, u64)> {
@@ -246,7 +249,10 @@
         slices.sort_unstable();
         slices.dedup();
         let usages = slices.iter().filter(|k| !draft.writes_usage(**k)).count();
-        groups.left = draft.ops_left().saturating_sub(usages);
+        // Teams of more slices may wait than a transaction has changes: some of these stay for groups, or nothing at all
+        // would be booked. Who finds no change left then comes in the next round.
+        let least = (draft.ops_left() / Self::GROUPS_PART).max(1).min(draft.ops_left());
+        groups.left = draft.ops_left().saturating_sub(usages).max(least);
         for a in &mut asks {
             a.owner = owners[a.owner];
         }
