--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -97,6 +97,23 @@
         Ok(())
     }
 
+    /// Spends one request with `writes` changes of users: ahead of rounds, also just after the largest, of `round` changes.
+    /// Beyond a round's debt it may be overdrawn by what the bucket holds; rounds make up for it. Otherwise tells when to ask
+    /// again.
+    pub fn spend_for_users(&mut self, now: Micros, writes: usize, round: usize) -> Result<(), Micros> {
+        self.bring_forward(now);
+        let wait_writes = match writes {
+            0 => Micros::ZERO,
+            n => self.writes.wait(n as f64 - self.writes.most - round as f64),
+        };
+        let wait = self.requests.wait(1.0 - self.requests.most).max(wait_writes);
+        if wait > Micros::ZERO {
+            return Err(now + wait.max(Micros::millis(1)));
+        }
+        self.force(now, writes);
+        Ok(())
+    }
+
     /// Whether a round may be made now, of whatever size: a large one is paid for by the time until
     /// the next, for a few large rounds do more with the same changes than many small ones.
     /// Otherwise tells when to ask again.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 mod absence;
 mod budget;
 mod cancelled;
+pub mod connections;
 mod draft;
 mod fleet;
 mod limits;
@@ -109,9 +110,9 @@
     Node,
     Meta,
     Claim(Vec<Slice>),
-    Submit(Vec<users::Waiting>),
-    Abort(users::Waiting),
-    Final(users::Waiting, JobId),
+    Submit(Vec<users::PendingRequest>),
+    Abort(users::PendingRequest),
+    Final(users::PendingRequest, JobId),
     Forerunner(JobId),
     Round(Box<rounds::InFlight>),
     Types(Catalog),
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use cometlead::bookkeeping::time::Micros;
 use cometlead::coordination::Controller;
+use cometlead::coordination::connections::SocketPlan;
 use cometlead::explain::Report;
 use cometlead::protocol::operator::OperatorSettings;
 use cometlead::protocol::settings::Settings;
@@ -176,9 +177,8 @@
             tracing::error!("params.workers.cancel_s leaves no time beside lease_s: no worker can be answered");
         }
         let node = Node::new(Controller::new(Arc::clone(&settings), operator, seed).with_rules(rules), &settings);
-        // Of the sockets, a quarter is for calls to others, and some for the peers.
-        let serving = settings.connections / 2;
-        tokio::spawn(server::serve(Arc::clone(&node), settings.bind, serving));
+        let sockets = SocketPlan::new(settings.connections, settings.others.len());
+        tokio::spawn(server::serve(Arc::clone(&node), settings.bind, sockets.served));
         tokio::spawn(peers::listen(Arc::clone(&node), settings.back, settings.others.len()));
         for other in &settings.others {
             tokio::spawn(peers::tell(Arc::clone(&node), other.back));
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -5,11 +5,13 @@
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::{Body, Incoming};
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONNECTION, CONTENT_TYPE};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use std::time::Duration;
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::sync::Semaphore;
 
@@ -22,6 +24,9 @@
 pub struct HttpClient {
     inner: Client<HttpConnector, Full<Bytes>>,
     calls: Semaphore,
+    /// When connections to workers were last left open, of those that may still be.
+    kept: Mutex<VecDeque<Instant>>,
+    most_kept: usize,
     /// Largest body that is read, in bytes.
     body_limit: usize,
 }
@@ -41,8 +46,9 @@
 }
 
 impl HttpClient {
-    /// A client that has at most `sockets` calls under way and reads bodies of at most `body_limit` bytes.
-    pub fn new(sockets: usize, body_limit: usize) -> HttpClient {
+    /// A client that has at most `calls` calls under way, keeps at most `most_kept` connections to workers and reads bodies of
+    /// at most `body_limit` bytes.
+    pub fn new(calls: usize, most_kept: usize, body_limit: usize) -> HttpClient {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
@@ -51,7 +57,27 @@
             .pool_idle_timeout(IDLE)
             .pool_max_idle_per_host(4)
             .build(connector);
-        HttpClient { inner, calls: Semaphore::new(sockets), body_limit }
+        HttpClient { inner, calls: Semaphore::new(calls), kept: Mutex::default(), most_kept, body_limit }
+    }
+
+    /// Whether a connection to a worker may stay open after a call. A worker that is commanded again and again counts
+    /// each time, so rather fewer are kept than may be.
+    fn may_keep(&self) -> bool {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        while kept.front().is_some_and(|at| at.elapsed() > IDLE) {
+            kept.pop_front();
+        }
+        let may = kept.len() < self.most_kept;
+        if may {
+            kept.push_back(Instant::now());
+        }
+        may
+    }
+
+    /// Commands a worker; its connection is given up afterwards if too many are kept already.
+    pub async fn command(&self, host: &str, path: &str, body: Vec<u8>, limit: Micros) -> Result<Answer, NoAnswer> {
+        let keep = self.may_keep();
+        self.send(host, ("POST", path), body, limit, keep).await
     }
 
     /// Sends a request, and waits for its answer for at most `limit`.
@@ -62,14 +88,27 @@
         path: &str,
         body: Vec<u8>,
         limit: Micros,
+    ) -> Result<Answer, NoAnswer> {
+        self.send(host, (method, path), body, limit, true).await
+    }
+
+    async fn send(
+        &self,
+        host: &str,
+        (method, path): (&'static str, &str),
+        body: Vec<u8>,
+        limit: Micros,
+        keep: bool,
     ) -> Result<Answer, NoAnswer> {
         let _permit = self.calls.try_acquire().map_err(|_| NoAnswer::None)?;
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{host}{path}"))
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|_| NoAnswer::None)?;
+            .header(CONTENT_TYPE, "application/json");
+        if !keep {
+            request = request.header(CONNECTION, "close");
+        }
+        let request = request.body(Full::new(Bytes::from(body))).map_err(|_| NoAnswer::None)?;
         let exchange = async {
             let response = self.inner.request(request).await.map_err(|_| NoAnswer::None)?;
             let status = response.status().as_u16();
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP server and client, the peer link, clocks and timers.
 
+pub mod admission;
 pub mod client;
 pub mod clock;
 pub mod node;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -3,6 +3,7 @@
 use super::client::{HttpClient, NoAnswer};
 use super::clock::Clock;
 use crate::bookkeeping::ids::JobId;
+use crate::coordination::connections::SocketPlan;
 use crate::coordination::{CallId, Controller, Effect, Event};
 use crate::protocol::peer::PeerHint;
 use crate::protocol::settings::Settings;
@@ -35,10 +36,11 @@
 impl Node {
     /// Wraps a controller.
     pub fn new(controller: Controller, settings: &Settings) -> Arc<Node> {
+        let sockets = SocketPlan::new(settings.connections, settings.others.len());
         Arc::new(Node {
             inner: Mutex::new(Inner { controller, users: HashMap::new(), next_call: 1 }),
             timer: Notify::new(),
-            client: HttpClient::new(settings.connections / 4, settings.body_limit()),
+            client: HttpClient::new(sockets.calls, sockets.kept_calls, settings.body_limit()),
             clock: Clock::start(),
             cloud: settings.cloud.to_string(),
             state: settings.state.to_string(),
@@ -164,7 +166,7 @@
                 Effect::Direct { call, endpoint, body, limit } => {
                     let node = Arc::clone(self);
                     tokio::spawn(async move {
-                        let answer = node.client.call(&endpoint, "POST", "/commands", body, limit).await;
+                        let answer = node.client.command(&endpoint, "/commands", body, limit).await;
                         // Any other status comes from a worker that has not carried it out either,
                         // but without a report nothing is known of it.
                         let result = answer
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -1,24 +1,32 @@
 //! The HTTP server for users, workers and health checks.
 
+use super::admission::{Admission, Register};
 use super::node::Node;
 use crate::bookkeeping::ids::JobId;
+use crate::coordination::connections::{Request as Asked, Verdict};
 use crate::protocol::user::{BODY_LIMIT, BadSubmission, UserAnswer, UserRequest, parse_submission};
 use crate::protocol::worker::{Report, ReportAnswer, elsewhere_body, orders_body};
-use salvo::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use salvo::http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use salvo::http::{ReqBody, StatusCode};
 use salvo::prelude::*;
 use std::borrow::Cow;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How long a request's body may take; its sender waits for an answer hardly longer.
+const BODY_TIME: Duration = Duration::from_secs(3);
+
 /// Serves on `at`, for ever.
 pub async fn serve(node: Arc<Node>, at: SocketAddrV4, connections: usize) {
+    let admission = Admission::new(connections);
+    tokio::spawn(Arc::clone(&admission).run());
     loop {
         match TcpListener::new(at).try_bind().await {
             Ok(acceptor) => {
-                let server = Server::new(acceptor).max_connections(connections);
-                if let Err(error) = server.try_serve(service(&node)).await {
+                let server =
+                    Server::new(acceptor).max_connections(connections).fuse_policy(Register(Arc::clone(&admission)));
+                if let Err(error) = server.try_serve(service(&node, &admission)).await {
                     tracing::error!(%error, "the server stopped, starting it again");
                 }
             }
@@ -29,51 +37,52 @@
 }
 
 /// The routes.
-pub fn service(node: &Arc<Node>) -> Service {
-    let end = |what| Endpoint { node: Arc::clone(node), what };
-    let work = Router::with_path("work")
-        .post(end(What::Submit))
-        .push(Router::with_path("{id}").get(end(What::Query)).push(Router::with_path("abort").post(end(What::Abort))));
+pub fn service(node: &Arc<Node>, admission: &Arc<Admission>) -> Service {
+    let end = |asked| Endpoint { node: Arc::clone(node), admission: Arc::clone(admission), asked };
+    let job = Router::with_path("{id}").get(end(Asked::Query)).push(Router::with_path("abort").post(end(Asked::Abort)));
+    let work = Router::with_path("work").post(end(Asked::Submit)).push(job);
     let router = Router::new()
         .push(work)
-        .push(Router::with_path("v1/report").post(end(What::Report)))
-        .push(Router::with_path("healthz").get(end(What::Health)));
+        .push(Router::with_path("v1/report").post(end(Asked::Report)))
+        .push(Router::with_path("healthz").get(end(Asked::Health)));
     Service::new(router)
 }
 
-#[derive(Clone, Copy)]
-enum What {
-    Submit,
-    Query,
-    Abort,
-    Report,
-    Health,
-}
-
 struct Endpoint {
     node: Arc<Node>,
-    what: What,
+    admission: Arc<Admission>,
+    asked: Asked,
 }
 
 #[async_trait]
 impl Handler for Endpoint {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        match self.what {
-            What::Submit => self.submit(req, res).await,
-            What::Query | What::Abort => self.about_job(req, res).await,
-            What::Report => self.report(req, res).await,
-            What::Health => {
-                if self.node.healthy() {
-                    json(res, StatusCode::OK, b"{}".to_vec());
-                } else {
-                    json(res, StatusCode::SERVICE_UNAVAILABLE, b"{}".to_vec());
-                }
-            }
+        let remote = req.remote_addr().clone().into_std();
+        match remote.map_or(Verdict::Serve, |r| self.admission.requested(r, self.asked)) {
+            Verdict::Serve => self.serve(req, res).await,
+            Verdict::TurnAway(seconds) => user_answer(res, UserAnswer::Later(seconds)),
+        }
+        if remote.is_some_and(|r: SocketAddr| self.admission.answered(r)) {
+            res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
     }
 }
 
 impl Endpoint {
+    async fn serve(&self, req: &mut Request, res: &mut Response) {
+        match self.asked {
+            Asked::Submit => self.submit(req, res).await,
+            Asked::Query | Asked::Abort => self.about_job(req, res).await,
+            Asked::Report => self.report(req, res).await,
+            Asked::Health => self.health(res),
+        }
+    }
+
+    fn health(&self, res: &mut Response) {
+        let status = if self.node.healthy() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        json(res, status, b"{}".to_vec());
+    }
+
     async fn submit(&self, req: &mut Request, res: &mut Response) {
         let Some(body) = body(req, res).await else {
             return;
@@ -98,10 +107,10 @@
 
     async fn about_job(&self, req: &mut Request, res: &mut Response) {
         let id = req.param::<String>("id").and_then(|id| id.parse::<JobId>().ok());
-        let answer = match (id, self.what) {
+        let answer = match (id, self.asked) {
             // Nothing of such a name was ever accepted.
             (None, _) => UserAnswer::Unknown,
-            (Some(id), What::Abort) => self.node.user(UserRequest::Abort(id)).await,
+            (Some(id), Asked::Abort) => self.node.user(UserRequest::Abort(id)).await,
             (Some(id), _) => self.node.user(UserRequest::Query(id)).await,
         };
         user_answer(res, answer);
@@ -143,7 +152,7 @@
             .unwrap_or(0),
     };
     if declared <= BODY_LIMIT {
-        match tokio::time::timeout(Duration::from_secs(10), req.payload_with_max_size(BODY_LIMIT)).await {
+        match tokio::time::timeout(BODY_TIME, req.payload_with_max_size(BODY_LIMIT)).await {
             Ok(Ok(bytes)) => return Some(bytes),
             Ok(Err(_)) => {}
             Err(_) => {
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -94,7 +94,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap().to_string();
     let silent = tokio::spawn(async move { listener.accept().await });
-    let client = HttpClient::new(1, 1_000);
+    let client = HttpClient::new(1, 1, 1_000);
     let first = client.call(&at, "GET", "/", Vec::new(), Micros::millis(200));
     // The one socket that it may use is taken: a further call fails at once.
     let second = async {
@@ -127,7 +127,7 @@
             let _ = stream.write_all(answer.as_bytes()).await;
             stream
         });
-        let got = HttpClient::new(1, limit).call(&at, "GET", "/", Vec::new(), Micros::secs(60)).await;
+        let got = HttpClient::new(1, 1, limit).call(&at, "GET", "/", Vec::new(), Micros::secs(60)).await;
         assert_eq!(got, expected, "{limit}");
         server.abort();
     }
