--- /dev/null
+++ b/crates/emulator/src/addresses.rs
@@ -0,0 +1,64 @@
+//! Who listens where: every party has an address of its own in the loopback range.
+
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use thiserror::Error;
+
+/// Machines that a region can address.
+const MOST_MACHINES: u64 = 190 * 250;
+/// Ports that are tried, below those that the system gives out by itself.
+const PORTS: std::ops::Range<u16> = 21_000..29_000;
+
+/// No port was free for a run.
+#[derive(Debug, Error)]
+#[error("no free port between {} and {}", PORTS.start, PORTS.end)]
+pub struct NoPort;
+
+/// The addresses of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    port: u16,
+}
+
+impl Addresses {
+    /// Finds a port that is free at the address where the first region's state service will listen; `seed` says where to begin.
+    ///
+    /// # Errors
+    ///
+    /// [`NoPort`] if none is.
+    pub fn find(seed: u64) -> Result<Addresses, NoPort> {
+        let span = u64::from(PORTS.end - PORTS.start) / 2;
+        let candidates = (0..span).map(|i| PORTS.start + 2 * ((seed.wrapping_add(i)) % span) as u16);
+        let mut free = candidates.map(|port| Addresses { port }).filter(|a| TcpListener::bind(a.state(0)).is_ok());
+        free.next().ok_or(NoPort)
+    }
+
+    fn at(region: usize, third: u8, fourth: u8, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, 10 + region as u8, third, fourth), port)
+    }
+
+    /// Where a controller takes users, workers and health checks.
+    pub fn controller(&self, region: usize, node: usize) -> SocketAddrV4 {
+        Self::at(region, 0, node as u8 + 1, self.port)
+    }
+
+    /// Where a controller takes its peers.
+    pub fn peer(&self, region: usize, node: usize) -> SocketAddrV4 {
+        Self::at(region, 0, node as u8 + 1, self.port + 1)
+    }
+
+    /// A region's state service.
+    pub fn state(&self, region: usize) -> SocketAddrV4 {
+        Self::at(region, 1, 1, self.port)
+    }
+
+    /// A region's cloud interface.
+    pub fn cloud(&self, region: usize) -> SocketAddrV4 {
+        Self::at(region, 1, 2, self.port)
+    }
+
+    /// A machine's worker; `None` beyond what a region can address.
+    pub fn worker(&self, region: usize, machine: u64) -> Option<SocketAddrV4> {
+        let (third, fourth) = (64 + machine / 250, machine % 250 + 1);
+        (machine < MOST_MACHINES).then(|| Self::at(region, third as u8, fourth as u8, self.port))
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/fleet.rs
@@ -0,0 +1,237 @@
+//! Hollow workers: each with its own connection, tokens, sessions, lease, task list and report rhythm.
+
+use crate::http::{Answer, Connection, NoAnswer, Taken, Traffic, serve};
+use crate::region::Region;
+use crate::standins::worker::{ANSWER_LIMIT, Deed, NEXT_NODE_PAUSE, Redirect, Worker};
+use bytes::Bytes;
+use parking_lot::Mutex;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+/// How long a worker in a cut waits before it looks again.
+const CUT_PAUSE: Duration = Duration::from_millis(500);
+/// Shortest pause of a worker's loop.
+const LEAST_PAUSE: u64 = 1_000;
+
+/// A report on its way: by which connection, and what came back.
+type Exchange = Pin<Box<dyn Future<Output = (Option<Connection>, Result<Answer, NoAnswer>)> + Send>>;
+
+/// A worker and its connections.
+pub struct HollowWorker {
+    region: Weak<Region>,
+    machine: u64,
+    zone: String,
+    worker: Mutex<Worker>,
+    gone: AtomicBool,
+    wake: Notify,
+    /// What went to and from it.
+    pub traffic: Arc<Traffic>,
+    /// Reports that had no answer, or another than 200.
+    pub reports_failed: AtomicU64,
+}
+
+/// A report that is due.
+struct Due {
+    body: Vec<u8>,
+    node: usize,
+    sent: u64,
+    session: u64,
+}
+
+impl HollowWorker {
+    /// Wraps a worker.
+    pub fn new(region: &Arc<Region>, worker: Worker) -> Arc<HollowWorker> {
+        Arc::new(HollowWorker {
+            region: Arc::downgrade(region),
+            machine: worker.id,
+            zone: worker.yard.clone(),
+            worker: Mutex::new(worker),
+            gone: AtomicBool::new(false),
+            wake: Notify::new(),
+            traffic: Arc::default(),
+            reports_failed: AtomicU64::new(0),
+        })
+    }
+
+    /// Its machine is gone with all that is on it.
+    pub fn stop(&self) {
+        let mut deeds = Vec::new();
+        {
+            let mut worker = self.worker.lock();
+            self.gone.store(true, Ordering::Relaxed);
+            worker.kill_all(&mut deeds);
+        }
+        if let Some(region) = self.region.upgrade() {
+            self.judge(&region, &deeds);
+        }
+        self.wake.notify_one();
+    }
+
+    /// Leases that ended with tasks on the machine.
+    pub fn lost_leases(&self) -> u64 {
+        self.worker.lock().lost_leases
+    }
+
+    fn judge(&self, region: &Region, deeds: &[Deed]) {
+        if deeds.is_empty() {
+            return;
+        }
+        let now = region.world.now();
+        let mut judge = region.world.judge.lock();
+        for deed in deeds {
+            judge.deed(now, (region.index, self.machine), deed);
+        }
+    }
+
+    /// Lives until its machine is gone.
+    pub async fn run(self: Arc<Self>, listener: TcpListener) {
+        let Some(region) = self.region.upgrade() else { return };
+        let keep = region.world.scenario.workers.keep_command_connections;
+        let commanded = Arc::clone(&self);
+        let handler = move |taken| Arc::clone(&commanded).command(taken);
+        let server = tokio::spawn(serve(listener, Arc::clone(&self.traffic), keep, handler));
+        self.report_until_gone(&region).await;
+        server.abort();
+    }
+
+    async fn report_until_gone(&self, region: &Arc<Region>) {
+        let mut connection: Option<(usize, Connection)> = None;
+        let mut exchange: Option<(Due, Exchange)> = None;
+        while !self.gone.load(Ordering::Relaxed) {
+            let now = region.world.now();
+            let cut = region.is_cut(&self.zone, now);
+            if let Some(due) = self.bring_forward(region, now, cut) {
+                let open = connection.take().filter(|(node, c)| *node == due.node && c.is_open());
+                let sending = self.send(region, &due, open.map(|(_, c)| c));
+                exchange = Some((due, Box::pin(sending)));
+            }
+            let next = self.worker.lock().next_deadline();
+            let mut pause = Duration::from_micros(next.saturating_sub(now).max(LEAST_PAUSE));
+            if cut {
+                pause = CUT_PAUSE;
+            }
+            tokio::select! {
+                (kept, result) = wait_for(&mut exchange) => {
+                    if let Some((due, _)) = exchange.take() {
+                        connection = kept.map(|c| (due.node, c));
+                        self.answered(region, &due, result);
+                    }
+                }
+                () = tokio::time::sleep(pause) => {}
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    /// Brings tasks and lease forward; a report if one is due and can leave.
+    fn bring_forward(&self, region: &Region, now: u64, cut: bool) -> Option<Due> {
+        let jitter = 0.75 + 0.5 * region.random();
+        let interval = (region.world.scenario.workers.report_s * 1e6 * jitter) as u64;
+        let mut deeds = Vec::new();
+        let due = {
+            let jobs = region.world.jobs.read();
+            let mut worker = self.worker.lock();
+            if self.gone.load(Ordering::Relaxed) {
+                return None;
+            }
+            worker.check_lease(now, &mut deeds);
+            worker.advance(now, &jobs, &mut deeds);
+            let body = if cut { None } else { worker.due_report(now, interval) };
+            body.map(|body| Due { body, node: worker.node, sent: now, session: worker.shift })
+        };
+        self.judge(region, &deeds);
+        due
+    }
+
+    fn send(
+        &self,
+        region: &Region,
+        due: &Due,
+        open: Option<Connection>,
+    ) -> impl Future<Output = (Option<Connection>, Result<Answer, NoAnswer>)> + Send + use<> {
+        let to = region.world.addresses.controller(region.index, due.node);
+        let traffic = Arc::clone(&self.traffic);
+        let body = Bytes::from(due.body.clone());
+        async move {
+            let exchange = async {
+                let mut connection = match open {
+                    Some(connection) => connection,
+                    None => Connection::open(to, &traffic).await?,
+                };
+                let answer = connection.call("POST", "/v1/report", body).await?;
+                Ok::<_, NoAnswer>((connection, answer))
+            };
+            match tokio::time::timeout(Duration::from_micros(ANSWER_LIMIT), exchange).await {
+                Ok(Ok((connection, answer))) => (Some(connection), Ok(answer)),
+                _ => (None, Err(NoAnswer)),
+            }
+        }
+    }
+
+    fn answered(&self, region: &Region, due: &Due, result: Result<Answer, NoAnswer>) {
+        let now = region.world.now();
+        let nodes = region.world.scenario.regions[region.index].controllers;
+        // What a zone in a cut was sent does not reach it.
+        let result = if region.is_cut(&self.zone, now) { Err(NoAnswer) } else { result };
+        if !result.as_ref().is_ok_and(|a| a.status == 200) {
+            self.reports_failed.fetch_add(1, Ordering::Relaxed);
+        }
+        let mut deeds = Vec::new();
+        {
+            let jobs = region.world.jobs.read();
+            let mut worker = self.worker.lock();
+            if self.gone.load(Ordering::Relaxed) {
+                return;
+            }
+            let redirect = match result {
+                Ok(answer) => {
+                    let message = (answer.status, &answer.body[..]);
+                    worker.take_answer(now, (due.sent, due.session), message, &jobs, &mut deeds)
+                }
+                Err(NoAnswer) => Redirect::Next,
+            };
+            if redirect == Redirect::Next {
+                worker.try_next_node(now, nodes, NEXT_NODE_PAUSE);
+            }
+        }
+        self.judge(region, &deeds);
+    }
+
+    async fn command(self: Arc<Self>, taken: Taken) -> Option<Answer> {
+        let region = self.region.upgrade()?;
+        let now = region.world.now();
+        if region.is_cut(&self.zone, now) {
+            return None;
+        }
+        let mut deeds = Vec::new();
+        let answer = {
+            let jobs = region.world.jobs.read();
+            let mut worker = self.worker.lock();
+            if self.gone.load(Ordering::Relaxed) {
+                return None;
+            }
+            match (taken.method.as_str(), taken.path.as_str()) {
+                ("POST", "/commands") => worker.take_command(now, &taken.body, &jobs, &mut deeds),
+                ("GET", "/show") => Some((200, worker.report(now))),
+                _ => None,
+            }
+        };
+        self.judge(&region, &deeds);
+        self.wake.notify_one();
+        let (status, body) = answer.unwrap_or((400, serde_json::json!({"error": "malformed"})));
+        Some(Answer::new(status, &body))
+    }
+}
+
+/// Waits for a report's answer, for ever if none is under way.
+async fn wait_for(exchange: &mut Option<(Due, Exchange)>) -> (Option<Connection>, Result<Answer, NoAnswer>) {
+    match exchange {
+        Some((_, exchange)) => exchange.await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/region.rs
@@ -0,0 +1,294 @@
+//! A region's outside world over real connections: its state service, its cloud interface and its machines.
+
+use crate::addresses::Addresses;
+use crate::fleet::HollowWorker;
+use crate::http::{Answer, Taken, Traffic, serve};
+use crate::judge::Judge;
+use crate::scenario::Scenario;
+use crate::standins::cloud::{Cloud, TypeSpec};
+use crate::standins::state::{State, StateConfig};
+use crate::standins::worker::{JobInfo, Worker};
+use parking_lot::{Mutex, RwLock};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+
+/// Cores of a machine.
+pub const MACHINE_CORES: f64 = 16.0;
+/// Memory of a machine in GB.
+const MACHINE_MEMORY_GB: f64 = 64.0;
+/// The only type of machine.
+pub const MACHINE_TYPE: &str = "standard";
+/// How much more machines there are than are wanted.
+const SPARE_MACHINES: f64 = 1.05;
+/// Time until the cloud answers.
+const CLOUD_LATENCY: Duration = Duration::from_millis(100);
+/// How often leases and watches are looked after.
+const STATE_TICK: Duration = Duration::from_millis(20);
+/// How long a lost answer keeps its connection.
+const LOST_ANSWER_HOLD: Duration = Duration::from_secs(5);
+/// Items of a page of the state service.
+const STATE_PAGE: usize = 200;
+/// Bytes in a KiB.
+const KIB: f64 = 1024.0;
+
+/// What all regions share.
+pub struct World {
+    /// What is run.
+    pub scenario: Scenario,
+    /// Who listens where.
+    pub addresses: Addresses,
+    /// When it began.
+    pub started: Instant,
+    /// What the jobs' tasks are like.
+    pub jobs: RwLock<BTreeMap<u64, JobInfo>>,
+    /// The judge.
+    pub judge: Mutex<Judge>,
+    /// Threads of the hollow workers.
+    pub worker_threads: Handle,
+    /// Threads of users, clouds and state services.
+    pub outside_threads: Handle,
+}
+
+impl World {
+    /// Microseconds since the begin of the run.
+    pub fn now(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+
+    /// The name of a zone.
+    pub fn zone(region: usize, zone: usize) -> String {
+        format!("r{region}-z{zone}")
+    }
+}
+
+/// A region.
+pub struct Region {
+    /// What all regions share.
+    pub world: Arc<World>,
+    /// Its number.
+    pub index: usize,
+    /// Its state service.
+    pub state: Mutex<State>,
+    watches: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
+    next_request: AtomicU64,
+    cloud: Mutex<Cloud>,
+    /// Its workers by machine.
+    pub fleet: Mutex<BTreeMap<u64, Arc<HollowWorker>>>,
+    /// Zones that are cut off from the controllers, and until when in microseconds.
+    pub cut_zones: Mutex<Vec<(String, u64)>>,
+    random: Mutex<StdRng>,
+    /// What went to and from the state service.
+    pub state_traffic: Arc<Traffic>,
+    /// What went to and from the cloud interface.
+    pub cloud_traffic: Arc<Traffic>,
+}
+
+impl Region {
+    /// A region in which nothing runs yet.
+    pub fn new(world: &Arc<World>, index: usize) -> Arc<Region> {
+        let scenario = &world.scenario;
+        let spec = &scenario.regions[index];
+        let in_a_zone = (spec.workers as f64 * SPARE_MACHINES / spec.zones as f64).ceil() as u32;
+        let ordinary = in_a_zone / 2;
+        let machine = TypeSpec {
+            name: MACHINE_TYPE.to_owned(),
+            cores: MACHINE_CORES,
+            mem: MACHINE_MEMORY_GB,
+            boot: scenario.cloud.boot_s,
+            price: 1.0,
+            spot_price: 0.9,
+            count: ordinary,
+            spot: in_a_zone - ordinary,
+            stuck: 0.0,
+            zones: (0..spec.zones).map(|z| World::zone(index, z)).collect(),
+        };
+        let state = StateConfig {
+            txn_ops: scenario.state.txn_ops,
+            value_bytes: (scenario.state.value_kb * KIB) as usize,
+            rps: scenario.state.rps,
+            write_rps: scenario.state.write_rps,
+            page: STATE_PAGE,
+        };
+        Arc::new(Region {
+            world: Arc::clone(world),
+            index,
+            state: Mutex::new(State::new(state)),
+            watches: Mutex::default(),
+            next_request: AtomicU64::new(1),
+            cloud: Mutex::new(Cloud::new(vec![machine], (scenario.cloud.list_lag_s * 1e6) as u64)),
+            fleet: Mutex::default(),
+            cut_zones: Mutex::default(),
+            random: Mutex::new(StdRng::seed_from_u64(scenario.seed ^ (index as u64 + 1))),
+            state_traffic: Arc::default(),
+            cloud_traffic: Arc::default(),
+        })
+    }
+
+    /// A random number below 1.
+    pub fn random(&self) -> f64 {
+        self.random.lock().random::<f64>()
+    }
+
+    /// Whether a zone is cut off from the controllers.
+    pub fn is_cut(&self, zone: &str, now: u64) -> bool {
+        self.cut_zones.lock().iter().any(|(z, until)| z == zone && now < *until)
+    }
+
+    /// Starts its servers.
+    ///
+    /// # Errors
+    ///
+    /// What the system says if an address cannot be had.
+    pub async fn start(self: &Arc<Self>) -> std::io::Result<()> {
+        let state = TcpListener::bind(self.world.addresses.state(self.index)).await?;
+        let cloud = TcpListener::bind(self.world.addresses.cloud(self.index)).await?;
+        let region = Arc::clone(self);
+        let handler = move |taken| Arc::clone(&region).state_request(taken);
+        tokio::spawn(serve(state, Arc::clone(&self.state_traffic), true, handler));
+        let region = Arc::clone(self);
+        let handler = move |taken| Arc::clone(&region).cloud_request(taken);
+        tokio::spawn(serve(cloud, Arc::clone(&self.cloud_traffic), true, handler));
+        tokio::spawn(Arc::clone(self).tick_state());
+        Ok(())
+    }
+
+    async fn tick_state(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(STATE_TICK).await;
+            self.answer_watches();
+        }
+    }
+
+    /// Answers the watches that are due.
+    fn answer_watches(&self) {
+        let (due, violations) = {
+            let mut state = self.state.lock();
+            (state.tick(self.world.now()), std::mem::take(&mut state.violations))
+        };
+        for (id, status, body) in due {
+            if let Some(sender) = self.watches.lock().remove(&id) {
+                // The controller may have gone.
+                let _ = sender.send(Answer::new(status, &body));
+            }
+        }
+        for violation in violations {
+            self.world.judge.lock().beyond_limits(self.world.now(), &violation);
+        }
+    }
+
+    /// Half of the time that the state service takes for an answer: drawn, with a long tail.
+    async fn state_latency(&self) {
+        let mean = self.world.scenario.state.latency_ms / 2e3;
+        let drawn = -(1.0 - self.random()).max(1e-4).ln() * mean;
+        if drawn > 0.0 {
+            tokio::time::sleep(Duration::from_secs_f64(drawn)).await;
+        }
+    }
+
+    async fn state_request(self: Arc<Self>, taken: Taken) -> Option<Answer> {
+        self.state_latency().await;
+        let is_txn = taken.path == "/txn";
+        let lost = is_txn && self.random() < self.world.scenario.state.lost_answers;
+        let id = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let (answer, waiting) = self.ask_state(id, &taken);
+        if is_txn {
+            self.answer_watches();
+        }
+        if lost {
+            tokio::time::sleep(LOST_ANSWER_HOLD).await;
+            return None;
+        }
+        let answer = match waiting {
+            Some(receiver) => receiver.await.ok()?,
+            None => answer,
+        };
+        self.state_latency().await;
+        Some(answer)
+    }
+
+    /// Hands a request to the stand-in; a watch is answered later.
+    fn ask_state(&self, id: u64, taken: &Taken) -> (Answer, Option<oneshot::Receiver<Answer>>) {
+        let mut state = self.state.lock();
+        let answer = state.request(self.world.now(), id, &taken.method, &taken.path, &taken.body);
+        let malformed = Answer::new(400, &serde_json::json!({"error": "malformed"}));
+        match answer {
+            Some((status, body)) => (Answer::new(status, &body), None),
+            None if taken.path.starts_with("/changes") => {
+                // Registered before the lock is given back, so no change is missed.
+                let (sender, receiver) = oneshot::channel();
+                self.watches.lock().insert(id, sender);
+                (malformed, Some(receiver))
+            }
+            None => (malformed, None),
+        }
+    }
+
+    async fn cloud_request(self: Arc<Self>, taken: Taken) -> Option<Answer> {
+        tokio::time::sleep(CLOUD_LATENCY).await;
+        let now = self.world.now();
+        let (answer, new) = {
+            let mut cloud = self.cloud.lock();
+            let last = cloud.hosts.keys().next_back().copied().unwrap_or(0);
+            let mut dice = || self.random();
+            let (status, body) = cloud.request(now, &taken.method, &taken.path, &taken.body, &mut dice);
+            let new: Vec<u64> = cloud.hosts.range(last + 1..).map(|(i, _)| *i).collect();
+            (Answer::new(status, &body), new)
+        };
+        for machine in new {
+            self.boot(machine);
+        }
+        if taken.path == "/hosts/release" {
+            self.stop_released(now);
+        }
+        Some(answer)
+    }
+
+    /// By the time of the answer, machines that were released are gone with all that is on them.
+    fn stop_released(&self, now: u64) {
+        let released: Vec<Arc<HollowWorker>> = {
+            let cloud = self.cloud.lock();
+            let mut fleet = self.fleet.lock();
+            let is_gone = |i: &u64| cloud.hosts.get(i).is_some_and(|h| h.gone_at.is_some_and(|g| g <= now));
+            let gone: Vec<u64> = fleet.keys().copied().filter(is_gone).collect();
+            gone.iter().filter_map(|i| fleet.remove(i)).collect()
+        };
+        for worker in released {
+            worker.stop();
+        }
+    }
+
+    /// Starts a machine's worker once it has booted.
+    fn boot(self: &Arc<Self>, machine: u64) {
+        let Some(up_at) = self.cloud.lock().hosts.get(&machine).and_then(|h| h.up_at) else { return };
+        let region = Arc::clone(self);
+        self.world.worker_threads.spawn(async move {
+            let wait = up_at.saturating_sub(region.world.now());
+            tokio::time::sleep(Duration::from_micros(wait)).await;
+            region.begin_worker(machine).await;
+        });
+    }
+
+    async fn begin_worker(self: Arc<Self>, machine: u64) {
+        let Some(endpoint) = self.world.addresses.worker(self.index, machine) else { return };
+        let Ok(listener) = TcpListener::bind(endpoint).await else { return };
+        let worker = {
+            let cloud = self.cloud.lock();
+            let Some(host) = cloud.hosts.get(&machine).filter(|h| h.gone_at.is_none()) else { return };
+            let lease = (self.world.scenario.workers.lease_s * 1e6) as u64;
+            let first = machine as usize % self.world.scenario.regions[self.index].controllers;
+            let place = (host.yard.clone(), host.spot);
+            let kind = cloud.type_of(machine);
+            Worker::new(machine, endpoint.to_string(), kind, place, lease, first, self.world.now())
+        };
+        let worker = HollowWorker::new(&self, worker);
+        self.fleet.lock().insert(machine, Arc::clone(&worker));
+        worker.run(listener).await;
+    }
+}
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -88,6 +88,72 @@
     }
 }
 
+/// A controller without a state service that serves so many connections.
+async fn serve(connections: usize) -> SocketAddrV4 {
+    let (bind, back) = (free_address().await, free_address().await);
+    let s = settings("n0", bind, back, free_address().await, free_address().await);
+    let node = Node::new(Controller::new(Arc::clone(&s), OperatorSettings::default(), 1), &s);
+    tokio::spawn(server::serve(Arc::clone(&node), bind, connections));
+    tokio::spawn(Arc::clone(&node).run());
+    bind
+}
+
+async fn connect(at: SocketAddrV4) -> TcpStream {
+    loop {
+        match TcpStream::connect(at).await {
+            Ok(stream) => return stream,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+}
+
+/// Sends a worker's report; whether the connection is closed with the answer.
+async fn report(stream: &mut TcpStream) -> bool {
+    let body = r#"{"host":"i-000001","endpoint":"127.0.0.1:1","build":"b","yard":"a","shift":1,"tally":1,"baton":0}"#;
+    stream.write_all(post("/v1/report", body).as_bytes()).await.unwrap();
+    let mut answer = [0; 512];
+    let n = stream.read(&mut answer).await.unwrap();
+    String::from_utf8_lossy(&answer[..n]).to_lowercase().contains("connection: close")
+}
+
+/// Workers beyond all sockets: those that are not kept are closed with their answers, health checks get in, and a
+/// connection that ends makes room again.
+#[tokio::test]
+async fn workers_give_connections_back_and_health_checks_get_in() {
+    const SERVED: usize = 16;
+    let at = serve(SERVED).await;
+    let mut kept = Vec::new();
+    let mut closed = 0;
+    for _ in 0..SERVED * 3 {
+        let mut stream = connect(at).await;
+        if report(&mut stream).await {
+            closed += 1;
+        } else {
+            kept.push(stream);
+        }
+    }
+    assert!(kept.len() >= SERVED / 4 && closed > SERVED, "{} kept, {closed} closed", kept.len());
+    let health = status(at, "GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    assert!(health.contains("503"), "{health}");
+    drop(kept);
+    while report(&mut connect(at).await).await {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// A client that sends half a request, or none, holds its place for a bounded time.
+#[tokio::test]
+async fn connections_without_a_whole_request_are_ended() {
+    let at = serve(16).await;
+    let mut silent = connect(at).await;
+    let mut half = connect(at).await;
+    half.write_all(b"POST /v1/report HTTP/1.1\r\nhost: x\r\nconte").await.unwrap();
+    for stream in [&mut silent, &mut half] {
+        // Ended with or without a reset.
+        assert_eq!(stream.read(&mut [0; 8]).await.unwrap_or(0), 0);
+    }
+}
+
 #[tokio::test]
 async fn every_call_has_a_limit() {
     // A listener that accepts and says nothing.
