--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -18,6 +18,8 @@
     opened: u64,
     refused: u64,
     most_open: usize,
+    /// Fewest connections held since the first one was given back.
+    least_held: usize,
 }
 
 impl Workers {
@@ -30,6 +32,7 @@
             opened: 0,
             refused: 0,
             most_open: 0,
+            least_held: usize::MAX,
         }
     }
 
@@ -59,6 +62,7 @@
         if self.connections.answered(self.now, id) {
             self.connections.closed(id);
             self.held.remove(&worker);
+            self.least_held = self.least_held.min(self.held.len());
         }
     }
 
@@ -118,6 +122,23 @@
     // Between two times of shortage connections are kept: fewer than one in two reports opens one.
     assert!(workers.opened < 20 * 1_300 / 2, "{}", workers.opened);
     assert!(workers.connections.counts().workers_closed > 0);
+    // Once begun it goes on until there is room for a while.
+    let ceiling = SERVED - SERVED / 4 - RESERVE;
+    assert!(workers.least_held <= ceiling * 3 / 4, "{} of {ceiling}", workers.least_held);
+}
+
+/// Neither class is above its own bound, but together they leave less than the reserve.
+#[test]
+fn both_classes_give_back_before_the_reserve_is_gone() {
+    let mut connections = Connections::new(SERVED);
+    for id in 0..1_450 {
+        connections.opened(Micros::ZERO, id);
+        let request = if id % 2 == 0 { Request::Report } else { Request::Query };
+        connections.requested(Micros::ZERO, id, request);
+        connections.answered(Micros::ZERO, id);
+    }
+    let counts = connections.counts();
+    assert!(counts.workers_closed > 0 && counts.users_closed > 0, "{counts:?}");
 }
 
 #[test]
