--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -6,7 +6,7 @@
 //! * [`scenario`] reads what is to be run; [`run`] runs it.
 //! * [`standins`] are the pure parties, [`region`], [`fleet`] and [`users`] connect them over loopback.
 //! * [`judge`] watches the rules while it runs, [`measure`] takes samples, [`report`] writes the results.
-//! * [`fit`] fits slopes to several runs, [`capacity`] makes the tables of `docs/CAPACITY.md` from them.
+//! * [`slopes`] fits slopes to several runs with [`fit`], [`capacity`] makes the tables of `docs/CAPACITY.md` from them.
 
 pub mod addresses;
 pub mod capacity;
@@ -20,5 +20,6 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod slopes;
 pub mod standins;
 pub mod users;
