--- a/src/coordination/commit/assignment.rs
+++ b/src/coordination/commit/assignment.rs
@@ -38,6 +38,13 @@
     }
 }
 
+fn log_taken_reservations(claims: &[Claim], reserved: &BTreeSet<MachineId>) {
+    let taken = |claim: &&Claim| reserved.contains(&claim.machine);
+    for Claim { job, machine, .. } in claims.iter().filter(taken) {
+        tracing::debug!(%job, %machine, "reserved machine assigned to a starved job");
+    }
+}
+
 impl<'a> AssignmentPlan<'a> {
     fn new(candidates: Candidates<'a>, groups: GroupAllowance) -> AssignmentPlan<'a> {
         AssignmentPlan {
@@ -119,6 +126,7 @@
         let mut plan = AssignmentPlan::new(candidates, groups);
         number_owners(&mut requests, &owners);
         plan.place(&mut requests);
+        self.log_waiting_sets(&requests, &plan.candidates.usable, &plan.claims);
         let mut assigned = self.assign_preempting(&mut plan, &requests, transaction, &fair_shares);
         if scope == RoundScope::All && !starved.is_empty() && plan.claims_left() > 0 {
             self.place_starved_jobs(&mut plan, &starved, transaction, context, &owners);
@@ -183,6 +191,7 @@
         context: Option<&'a PlacementContext<'a>>,
         owners: &[usize],
     ) {
+        let reserved = plan.candidates.reserved_machines();
         plan.candidates.open_to_starved_jobs();
         let mut unplaceable = BTreeSet::new();
         for _ in 0..STARVED_JOB_PASSES {
@@ -191,6 +200,7 @@
                 self.requests_of_starved_jobs(turns, &plan.all_claims, transaction, context);
             number_owners(&mut requests, owners);
             let new = plan.place(&mut requests);
+            log_taken_reservations(&new, &reserved);
             // What of its team's limit was set aside for a job that finds no room is for others again.
             unplaceable.extend(
                 requests
--- a/src/coordination/commit/candidates.rs
+++ b/src/coordination/commit/candidates.rs
@@ -10,7 +10,7 @@
 use crate::storage::ids::{GroupIndex, JobId, MachineId, ShardId};
 use crate::storage::records::MachineHealth;
 use crate::storage::resources::Amount;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One in so many of the changes left is for groups, however many usage records are to be written.
 const GROUPS_PART: usize = 3;
@@ -24,6 +24,12 @@
 }
 
 impl Candidates<'_> {
+    /// Machines that the plan has reserved for requests that found no room.
+    pub fn reserved_machines(&self) -> BTreeSet<MachineId> {
+        let reserved = self.usable.iter().filter(|candidate| candidate.reserved);
+        reserved.map(|candidate| candidate.machine).collect()
+    }
+
     /// Opens to starved jobs what is kept from others, and what is reserved for others.
     pub fn open_to_starved_jobs(&mut self) {
         self.usable.append(&mut self.recovering);
--- a/src/coordination/commit/mod.rs
+++ b/src/coordination/commit/mod.rs
@@ -20,6 +20,7 @@
 mod suspicion;
 pub(super) mod transaction;
 mod urgent_round;
+mod waiting_sets;
 
 pub use pending::Rounds;
 
