--- a/src/coordination/autoscaler/scale_in.rs
+++ b/src/coordination/autoscaler/scale_in.rs
@@ -58,6 +58,8 @@
     decommissioning: Vec<MachineId>,
     /// Machines to be marked.
     to_decommission: Vec<(MachineId, ReleaseReason)>,
+    /// Machines that are kept empty for a set.
+    held: BTreeSet<MachineId>,
     idle_since: HashMap<MachineId, Micros>,
     unreachable_since: HashMap<MachineId, Micros>,
     /// Schedulable machines that are idle, but not for long, with the time since when.
@@ -86,7 +88,11 @@
 
     fn survey_fleet(&self) -> FleetSurvey {
         let urgent_in_lost_zones = self.lost_machines_to_release();
-        let mut survey = FleetSurvey::default();
+        let held = self.machines_held_for_set();
+        let mut survey = FleetSurvey {
+            held: held.cloned().unwrap_or_default(),
+            ..FleetSurvey::default()
+        };
         for (_, id, record) in self.cell.machines() {
             self.survey_machine(&mut survey, &urgent_in_lost_zones, id, record);
         }
@@ -101,10 +107,8 @@
         record: &MachineRecord,
     ) {
         let now = self.now.steady;
-        let idle_since = record
-            .tasks
-            .is_empty()
-            .then(|| *self.autoscaler.idle_since.get(&id).unwrap_or(&now));
+        let is_idle = record.tasks.is_empty() && !survey.held.contains(&id);
+        let idle_since = is_idle.then(|| *self.autoscaler.idle_since.get(&id).unwrap_or(&now));
         if let Some(since) = idle_since {
             survey.idle_since.insert(id, since);
         }
--- a/src/coordination/commit/candidates.rs
+++ b/src/coordination/commit/candidates.rs
@@ -64,6 +64,7 @@
             usable: Vec::new(),
             recovering: Vec::new(),
         };
+        let held = self.machines_held_for_set();
         for machine in self.free_machines(transaction, groups) {
             // A machine that the transaction adds is planned on in the next round.
             let Some(record) = self.cell.machine(machine.machine) else {
@@ -74,9 +75,10 @@
             if !accepts_tasks && starved.is_empty() {
                 continue;
             }
-            let Some(candidate) = self.candidate(machine, transaction, context, owners) else {
+            let Some(mut candidate) = self.candidate(machine, transaction, context, owners) else {
                 continue;
             };
+            candidate.held = held.is_some_and(|held| held.contains(&machine.machine));
             if accepts_tasks {
                 candidates.usable.push(candidate);
             } else {
@@ -138,6 +140,7 @@
             capacity: machine_type.room,
             free: machine.free,
             reserved: false,
+            held: false,
             images: &record.images,
             fetching_image: None,
             running: Vec::new(),
--- a/src/coordination/commit/job_order.rs
+++ b/src/coordination/commit/job_order.rs
@@ -40,10 +40,24 @@
 }
 
 impl Controller {
-    /// All jobs with tasks to place. Classes and teams that are behind their fair share go first, the
-    /// others by their precedence.
+    /// All jobs with tasks to place. First goes the one for which machines are held, then classes and
+    /// teams that are behind their fair share, the others by their precedence.
     pub(super) fn jobs_in_order(&self) -> JobOrder<'_> {
-        let jobs = self.jobs_by_precedence();
+        let mut jobs = self.jobs_by_precedence();
+        let holder = jobs
+            .iter()
+            .position(|(id, _)| self.has_reservation(*id))
+            .map(|position| jobs.remove(position))
+            .map(|(id, job)| Turn {
+                id,
+                job,
+                max_tasks: if job.spec().runs_all_tasks_at_once() {
+                    u64::MAX
+                } else {
+                    1
+                },
+                ahead: false,
+            });
         let fair_shares = self.fair_shares(&jobs);
         let mut shares_left = fair_shares.clone();
         let (mut ahead, mut in_order) = (Vec::new(), Vec::new());
@@ -69,9 +83,8 @@
                 });
             }
         }
-        ahead.extend(in_order);
         JobOrder {
-            turns: ahead,
+            turns: holder.into_iter().chain(ahead).chain(in_order).collect(),
             fair_shares,
         }
     }
@@ -89,7 +102,7 @@
     }
 
     /// Whether a job has tasks to place, and nothing holds it back.
-    fn is_placeable(&self, id: JobId, job: &Job) -> bool {
+    pub(super) fn is_placeable(&self, id: JobId, job: &Job) -> bool {
         job.ready()
             && self.cell.pending_count(id, job) > 0
             // A job that fails on every machine is retried ever more seldom, until its user ends it.
--- a/src/coordination/commit/mod.rs
+++ b/src/coordination/commit/mod.rs
@@ -16,6 +16,7 @@
 mod price;
 mod result;
 mod round;
+mod set_reservation;
 mod starvation;
 mod suspicion;
 pub(super) mod transaction;
--- a/src/coordination/commit/ordering.rs
+++ b/src/coordination/commit/ordering.rs
@@ -13,7 +13,7 @@
     pub(in crate::coordination) fn latest_start(&self, job: &Job) -> Micros {
         let spec = job.spec();
         // Deadlines count from the submission, everything else from when the job could begin.
-        let ready_at = job.record.submitted.max(job.dependency_state.ready_at);
+        let ready_at = job.ready_since();
         let own_due = spec.deadline.map_or_else(
             || ready_at + self.finish_objective(spec),
             |deadline| job.record.submitted + deadline,
--- a/src/coordination/commit/pending.rs
+++ b/src/coordination/commit/pending.rs
@@ -1,6 +1,7 @@
 //! What waits to be committed, and when the next round may be planned.
 
 use super::RoundScope;
+use super::set_reservation::SetReservations;
 use super::starvation::StarvationPrevention;
 use super::suspicion::Suspicions;
 use crate::coordination::agents::{HealthChange, Outcome};
@@ -64,6 +65,8 @@
     suspects: Suspicions,
     /// How long jobs have waited.
     starvation: StarvationPrevention,
+    /// Machines held for a set that has waited for long.
+    pub(super) sets: SetReservations,
     /// Own records that are larger than the next limits allow, and are to be compacted.
     oversized: BTreeSet<Key>,
 }
--- a/src/coordination/commit/placement_requests.rs
+++ b/src/coordination/commit/placement_requests.rs
@@ -53,6 +53,7 @@
         if is_local {
             self.own_tasks += tasks.len();
         }
+        let has_reservation = controller.has_reservation(id);
         let allowed = (tasks.len() as u64).min(most);
         // Once the other claims are planned nothing is saved for sets that exceed the limits now.
         if gang && allowed < tasks.len() as u64 && self.claimed.is_some() {
@@ -75,7 +76,8 @@
             is_local,
             // What goes ahead for its class or team waits for room; it preempts nothing.
             preempts: controller.preempts(job) && !suspect && !turn.ahead,
-            uses_leftovers_only: suspect,
+            never_reserves: suspect || has_reservation,
+            uses_held_machines: controller.may_use_held_machines(id, spec),
             guaranteed: team.is_some_and(Team::has_share) && !controller.borrows(job, shard),
             gang,
             avoid: &job.record.failed_machines,
@@ -188,7 +190,8 @@
     }
 
     /// Requests of own jobs that are starved and have no claim in this plan: one task of each, or a
-    /// set as a whole, may go to what is left, whatever that is kept for.
+    /// set as a whole, may go to what is left, whatever that is kept for. Only what machines are held for
+    /// keeps its part of its team's limit.
     pub(super) fn requests_of_starved_jobs<'a, 'b>(
         &'a self,
         starved: impl Iterator<Item = &'b (JobId, &'a Job)>,
@@ -202,7 +205,10 @@
         let has_claim = |id: JobId| claims.iter().any(|claim| claim.job == id);
         let turns = starved
             .filter(|(id, job)| {
-                self.leads_job(*id, job) && self.is_job_starved(*id) && !has_claim(*id)
+                self.leads_job(*id, job)
+                    && self.is_job_starved(*id)
+                    && !has_claim(*id)
+                    && !self.has_reservation(*id)
             })
             .map(|(id, job)| Turn {
                 id: *id,
@@ -211,7 +217,12 @@
                 ahead: false,
             })
             .collect();
-        let claimed = self.claimed_by_team(claims);
+        let mut claimed = self.claimed_by_team(claims);
+        if let Some((id, job)) = self.job_with_reservation()
+            && !has_claim(id)
+        {
+            *claimed.entry(&job.spec().team).or_default() += self.needs_at_once(id, job);
+        }
         let mut requests = self.requests(turns, Some(&claimed), transaction, context);
         for request in &mut requests {
             request.preempts = false;
--- a/src/coordination/commit/price.rs
+++ b/src/coordination/commit/price.rs
@@ -31,7 +31,7 @@
         job: &Job,
         machine_kinds: &BTreeSet<MachineKind<'_>>,
     ) -> u64 {
-        if self.is_job_starved(id) {
+        if self.is_job_starved(id) || self.has_reservation(id) {
             return u64::MAX;
         }
         let limit = self.price_limit(job);
--- a/src/coordination/constraints/preferences.rs
+++ b/src/coordination/constraints/preferences.rs
@@ -35,7 +35,7 @@
         if now >= self.latest_start(job) {
             return 0;
         }
-        let ready_at = ready_at(job);
+        let ready_at = job.ready_since();
         let is_waiting = |wait: Micros| now < ready_at + wait;
         let in_time =
             |class: ClassId, wait| self.cell.classes.is_up(class) || self.boot_time(class) <= wait;
@@ -45,7 +45,7 @@
 
     /// How long a job still waits for a preference with this wait.
     pub(super) fn remaining_wait(&self, job: &Job, wait: Micros) -> Micros {
-        (ready_at(job) + wait).since(self.now.day)
+        (job.ready_since() + wait).since(self.now.day)
     }
 
     /// Expected boot time of a machine of a class.
@@ -82,8 +82,3 @@
         Some(class.is_some_and(|class| first.may_meet(class)))
     }
 }
-
-/// When the job could first have started.
-fn ready_at(job: &Job) -> Micros {
-    job.record.submitted.max(job.dependency_state.ready_at)
-}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -269,6 +269,7 @@
         }
         self.tick_cancellations();
         self.tick_starvation();
+        self.tick_set_reservation();
         self.tick_users();
         self.tick_rules();
         self.tick_counters();
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -4,11 +4,13 @@
 //! does not fit; [`preempt`] then makes room for what must start at once.
 
 mod candidate;
+mod drain;
 mod preemption;
 mod request;
 mod reservation;
 
 pub use candidate::{Candidate, GroupAllowance, PreemptibleTask};
+pub use drain::{Drain, DrainCandidate, DrainDemand, EndingTask, drain};
 pub use preemption::{Preemption, preempt};
 pub use request::{Claim, PlacementRequest, PlacementRules};
 
@@ -58,6 +60,7 @@
 /// Order in which machines are filled; the least is the best, compared field by field.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct MachineRank {
+    held: bool,
     avoided: bool,
     score: Reverse<u32>,
     image_missing: bool,
@@ -187,6 +190,7 @@
     fn rank(&self, index: usize, request: &PlacementRequest<'_>) -> MachineRank {
         let candidate = &self.candidates[index];
         MachineRank {
+            held: candidate.held,
             avoided: request.avoid.contains(&candidate.machine),
             score: Reverse(request.score(candidate)),
             image_missing: !candidate.has_image(&request.spec.image),
--- a/src/scheduler/placement/candidate.rs
+++ b/src/scheduler/placement/candidate.rs
@@ -31,6 +31,8 @@
     pub free: Amount,
     /// Reserved for a request of higher precedence that found no room.
     pub reserved: bool,
+    /// Held for a set that has waited for long, see [`super::drain`]: only for requests that may use such machines.
+    pub held: bool,
     /// Images that the machine holds or fetches.
     pub images: &'a [(Arc<str>, u64)],
     /// Image that the machine has to fetch for tasks placed by this plan.
--- a/src/scheduler/placement/preemption.rs
+++ b/src/scheduler/placement/preemption.rs
@@ -36,6 +36,7 @@
 /// Cost of preempting on a machine; the least is preferred, compared field by field.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct PreemptionCost {
+    held: bool,
     image_missing: bool,
     loss_per_gain: u64,
     machine: MachineId,
@@ -141,6 +142,7 @@
     }
     Some(PreemptionOption {
         cost: PreemptionCost {
+            held: candidate.held,
             image_missing: !candidate.has_image(&request.spec.image),
             loss_per_gain: lost * LOSS_SCALE / gained.max(1),
             machine: candidate.machine,
--- a/src/scheduler/placement/request.rs
+++ b/src/scheduler/placement/request.rs
@@ -35,8 +35,11 @@
     pub preempts: bool,
     /// Whether it is within the guarantee of its team.
     pub guaranteed: bool,
-    /// Whether it uses leftover capacity only and never reserves a machine.
-    pub uses_leftovers_only: bool,
+    /// Whether no machine is reserved for it: it uses leftover capacity only, or machines are held for it already.
+    pub never_reserves: bool,
+    /// Whether it may use machines that are held: they are held for it, or it does not delay the job that they are
+    /// held for.
+    pub uses_held_machines: bool,
     /// Whether it is a gang: all of its tasks are placed or none.
     pub gang: bool,
     /// Machines to use only if no other machine fits.
@@ -69,9 +72,10 @@
         self.matches_request(candidate) && self.admitted(candidate)
     }
 
-    /// Whether price, type, zone and kind of the machine match the specification.
+    /// Whether price, type, zone and kind of the machine match the specification, and it is not held for another job.
     pub(super) fn matches_request(&self, candidate: &Candidate<'_>) -> bool {
-        candidate.price <= self.price_limit
+        (self.uses_held_machines || !candidate.held)
+            && candidate.price <= self.price_limit
             && self
                 .spec
                 .allows(candidate.machine_type, candidate.zone, candidate.spot)
@@ -143,6 +147,7 @@
     spot: bool,
     price_limit: u64,
     is_local: bool,
+    uses_held_machines: bool,
 }
 
 impl<'a> RequestShape<'a> {
@@ -159,6 +164,7 @@
             spot: spec.spot_allowed,
             price_limit: request.price_limit,
             is_local: request.is_local,
+            uses_held_machines: request.uses_held_machines,
         })
     }
 }
--- a/src/scheduler/placement/reservation.rs
+++ b/src/scheduler/placement/reservation.rs
@@ -17,7 +17,7 @@
     missing: u64,
 ) {
     let mut missing = missing.min(request.most);
-    if missing == 0 || request.uses_leftovers_only {
+    if missing == 0 || request.never_reserves {
         return;
     }
     let suitable = suitable_machines(candidates, live, request);
--- a/src/storage/live_job.rs
+++ b/src/storage/live_job.rs
@@ -3,6 +3,7 @@
 use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
 use crate::storage::dependency_graph::DependencyState;
 use crate::storage::job::{JobRecord, JobSpec, Priority};
+use crate::time::Micros;
 use std::collections::BTreeMap;
 
 /// The value of a record with the revision of its last change.
@@ -50,6 +51,12 @@
         !self.cancelled() && !self.dependency_state.blocked
     }
 
+    /// Since when its tasks could have started, by the time of day: when it was submitted, or when the last job that it
+    /// depends on was done.
+    pub fn ready_since(&self) -> Micros {
+        self.record.submitted.max(self.dependency_state.ready_at)
+    }
+
     /// The highest of its own priority and those of the jobs that depend on it.
     pub fn priority(&self) -> Priority {
         self.dependency_state.priority
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -161,6 +161,29 @@
     static NOW: std::cell::Cell<u64> = const { std::cell::Cell::new(0) };
 }
 
+/// Stamps the log with the simulated time.
+struct SimulatedTime;
+
+impl tracing_subscriber::fmt::time::FormatTime for SimulatedTime {
+    fn format_time(&self, w: &mut tracing_subscriber::fmt::format::Writer<'_>) -> std::fmt::Result {
+        write!(w, "{:9.3}", now() as f64 / 1e6)
+    }
+}
+
+/// Shows the controllers' log of a run; only useful with a single scenario or seed.
+pub fn show_log() {
+    if std::env::var("LOG_LEVEL").is_ok() {
+        let log = tracing_subscriber::fmt()
+            .with_max_level(tracing::Level::DEBUG)
+            .with_writer(std::io::stderr);
+        let _ = log
+            .with_timer(SimulatedTime)
+            .with_target(false)
+            .with_ansi(false)
+            .try_init();
+    }
+}
+
 /// The simulated time of this thread's world, for its log.
 pub fn now() -> u64 {
     NOW.get()
