--- a/src/coordination/commit/placement_requests.rs
+++ b/src/coordination/commit/placement_requests.rs
@@ -44,6 +44,7 @@
         let team = controller.settings.team(&spec.team);
         let most = self.tasks_within_limits(shard, spec, team);
         let suspect = controller.rounds.is_suspect(id);
+        let has_reservation = self.count_reservation(id, job);
         if most == 0 || controller.waits_for_running_tasks(id, spec, suspect) {
             return None;
         }
@@ -53,13 +54,14 @@
         if is_local {
             self.own_tasks += tasks.len();
         }
-        let has_reservation = controller.has_reservation(id);
         let allowed = (tasks.len() as u64).min(most);
         // Once the other claims are planned nothing is saved for sets that exceed the limits now.
         if gang && allowed < tasks.len() as u64 && self.claimed.is_some() {
             return None;
         }
-        self.count(spec, allowed);
+        if !has_reservation {
+            self.count(spec, allowed);
+        }
         Some(PlacementRequest {
             job: id,
             spec,
@@ -67,11 +69,7 @@
             tasks,
             zones: controller.spread_zones(id, spec),
             most,
-            price_limit: if suspect {
-                controller.fair_price(spec)
-            } else {
-                controller.price_limit_among(id, job, &self.machine_kinds)
-            },
+            price_limit: self.price_limit(id, job, suspect),
             owner: shard,
             is_local,
             // What goes ahead for its class or team waits for room; it preempts nothing.
@@ -85,6 +83,26 @@
         })
     }
 
+    /// Counts all that machines are held for, also what its team's limit does not allow yet: the rest must not go to
+    /// others of the team meanwhile. Whether machines are held for the job.
+    fn count_reservation(&mut self, id: JobId, job: &'a Job) -> bool {
+        let has_reservation = self.controller.has_reservation(id);
+        if has_reservation {
+            let tasks = self.controller.tasks_needed_at_once(id, job);
+            self.count(job.spec(), tasks);
+        }
+        has_reservation
+    }
+
+    fn price_limit(&self, id: JobId, job: &Job, suspect: bool) -> u64 {
+        let controller = self.controller;
+        if suspect {
+            controller.fair_price(job.spec())
+        } else {
+            controller.price_limit_among(id, job, &self.machine_kinds)
+        }
+    }
+
     /// How many more tasks of this kind the team's limits allow.
     fn tasks_within_limits(
         &mut self,
@@ -221,7 +239,8 @@
         if let Some((id, job)) = self.job_with_reservation()
             && !has_claim(id)
         {
-            *claimed.entry(&job.spec().team).or_default() += self.needs_at_once(id, job);
+            let needed = job.spec().need.times(self.tasks_needed_at_once(id, job));
+            *claimed.entry(&job.spec().team).or_default() += needed;
         }
         let mut requests = self.requests(turns, Some(&claimed), transaction, context);
         for request in &mut requests {
--- a/src/coordination/commit/set_reservation.rs
+++ b/src/coordination/commit/set_reservation.rs
@@ -170,9 +170,13 @@
         Some(&self.rounds.sets.current()?.machines)
     }
 
-    /// What a job needs to start: the resources of a whole set, or of one task.
-    pub(super) fn needs_at_once(&self, id: JobId, job: &Job) -> Amount {
-        job.spec().need.times(self.drain_demand(id, job).tasks)
+    /// How many tasks of a job start together: those of a set that are not assigned, or one.
+    pub(super) fn tasks_needed_at_once(&self, id: JobId, job: &Job) -> u64 {
+        if job.spec().runs_all_tasks_at_once() {
+            self.cell.pending_count(id, job).into()
+        } else {
+            1
+        }
     }
 
     /// Whether tasks of a job may use machines that are held for another: they must start at once, or end before the
@@ -260,7 +264,7 @@
         let Some(team) = self.settings.team(&job.spec().team) else {
             return true;
         };
-        let mut used = self.needs_at_once(id, job);
+        let mut used = job.spec().need.times(self.tasks_needed_at_once(id, job));
         for (other, service) in &self.cell.jobs {
             let spec = service.spec();
             if spec.service && spec.team == job.spec().team {
@@ -271,17 +275,11 @@
         within(team.cores_limit, used.cores) && within(team.accelerators_limit, used.accelerators)
     }
 
-    /// What a job needs at once: the tasks of a set that are not assigned, or one task.
     fn drain_demand(&self, id: JobId, job: &Job) -> DrainDemand {
         let spec = job.spec();
-        let pending = u64::from(self.cell.pending_count(id, job));
         DrainDemand {
             need: spec.need,
-            tasks: if spec.runs_all_tasks_at_once() {
-                pending
-            } else {
-                1
-            },
+            tasks: self.tasks_needed_at_once(id, job),
             single_zone: spec.single_zone,
             zone_limit: spec.zone_limit().into(),
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -351,8 +351,13 @@
     }
 }
 
-/// Known to fail, see KNOWN-RED.txt. More small work than there is room comes without an end; two sets that need most of the machines
-/// at once, one of them with a deadline, are to begin within four minutes all the same.
+/// More small work than there is room comes without an end; two sets that need most of the machines at once, one of them with a deadline, are to
+/// begin within four minutes all the same.
+///
+/// Once neither ever began. Room was reserved for a set anew in each plan, among the machines with a free core at that moment and on a third of them for
+/// each request, so it changed from plan to plan and no machine was ever emptied for the set. What was reserved then went to small jobs that had waited for
+/// 45 s, of which there always are some in a lasting shortage, and machines that stood empty for the set were returned as surplus. The lines `set waits for room` of
+/// this run showed it: of six machines wanted 7 at most were reserved, mostly 2 to 4, and 3 at most had room; 2,167 lines `reserved machine assigned to a starved job`, and 40 machines returned.
 #[test]
 fn sets_begin_beside_small_jobs_without_end() {
     let text = "seed 86\nend 520\nlease 15\nreport 2.5\ncancel 40\n\
