--- a/tests/days/mod.rs
+++ b/tests/days/mod.rs
@@ -319,8 +319,73 @@
     Script::parse(&text).unwrap_or_else(|e| panic!("{e}\n{text}"))
 }
 
+/// Days with sets have seeds beyond this one.
+pub const SETS_FROM: u64 = 100_000;
+
+/// Within what time sets and large tasks begin, in seconds: what users ask of the largest jobs of a class.
+const LONGEST_WAIT_OF_SETS: u64 = 240;
+
+/// A day drawn from a seed on which small jobs take most of the room for as long as it lasts, beside sets and tasks of most of a
+/// machine, and a trouble or two.
+fn with_sets(seed: u64) -> Script {
+    use rand::rngs::StdRng;
+    use rand::{RngExt, SeedableRng};
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut pick = |n: u64| rng.random_range(0..n);
+    let machines = 8 + pick(5);
+    // Eight tasks of ten seconds each: so much of the room that no machine is ever empty, and small jobs do not queue.
+    let load = [0.7, 0.8, 0.9][pick(3) as usize];
+    let interval = 10.0 / (machines as f64 * load);
+    let mut text = format!(
+        "seed {seed}\nnodes {}\nend 420\nlease 15\nreport {}\ncancel 40\nteam red cores=16\n\
+         type small cores=8 mem=32 boot=4 price=1 spot_price=0.4 count=0 spot={machines}\n\
+         at 2 submit req-001001 pieces=8 cores=1 run=10 lane=small times={} every={interval:.3}\n",
+        3 + 2 * pick(2),
+        [1.0, 2.5][pick(2) as usize],
+        (400.0 / interval) as u64,
+    );
+    for job in 1..=2 + pick(2) {
+        let at = 20 + pick(90);
+        let kind = [
+            "shape=group",
+            "shape=group",
+            "shape=group due=60",
+            "pieces=1",
+        ][pick(4) as usize];
+        let tasks = if kind == "pieces=1" {
+            String::new()
+        } else {
+            format!(" pieces={}", 2 + pick(machines - 2))
+        };
+        text += &format!(
+            "at {at} submit req-{job:06}{tasks} {kind} cores={} run={} lane=set team={} urgency={}\n\
+             expect starts-by req-{job:06} at={}\n",
+            5 + pick(4),
+            5 + pick(15),
+            ["red", "free"][pick(2) as usize],
+            ["standard", "low"][pick(2) as usize],
+            at + LONGEST_WAIT_OF_SETS,
+        );
+    }
+    for _ in 0..pick(3) {
+        let (at, node) = (40 + pick(110), pick(3));
+        text += &match pick(6) {
+            0 => format!("at {at} crash n{node} for={}\n", 2 + pick(6)),
+            1 => format!("at {at} crash nodes for={}\n", 1 + pick(3)),
+            2 => format!("at {at} cut n{node} state mode=drop for={}\n", 5 + pick(20)),
+            3 => format!("at {at} cut n{node} nodes mode=drop for={}\n", 5 + pick(20)),
+            4 => format!("at {at} late-writes share=0.2 for={}\n", 5 + pick(15)),
+            _ => format!("at {at} take i-{:06} count=2 notice=6\n", 1 + pick(6)),
+        };
+    }
+    Script::parse(&text).unwrap_or_else(|e| panic!("{e}\n{text}"))
+}
+
 /// A day drawn from a seed: jobs of all kinds, and faults that overlap.
 pub fn drawn(seed: u64) -> Script {
+    if seed > SETS_FROM {
+        return with_sets(seed);
+    }
     if seed > 6000 {
         return met_all(seed);
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -99,6 +99,7 @@
                 .chain(4001..=4000 + count)
                 .chain(5001..=5000 + count)
                 .chain(6001..=6000 + count)
+                .chain(days::SETS_FROM + 1..=days::SETS_FROM + count / 4)
                 .collect(),
         },
         |s| vec![s],
