--- a/src/coordination/commit/set_reservation.rs
+++ b/src/coordination/commit/set_reservation.rs
@@ -340,3 +340,6 @@
         tracing::info!(job = %held.job, placed, %lasted, "machines no longer held for a set");
     }
 }
+
+#[cfg(test)]
+mod tests;
