--- a/tests/sets.rs
+++ b/tests/sets.rs
@@ -46,7 +46,7 @@
     text: &'static str,
 }
 
-const CASES: [Case; 14] = [
+const CASES: [Case; 15] = [
     Case {
         name: "two-sets",
         shortage: SHORTAGE,
@@ -135,6 +135,13 @@
             at 80 take i-000001 count=2\nat 88 take i-000003 count=2 notice=6\nat 96 take i-000005\n\
             expect starts-by req-000001 at=270\n",
     },
+    Case {
+        name: "urgent-work-while-machines-are-drained",
+        shortage: SHORTAGE,
+        text: "at 30 submit req-000001 pieces=9 cores=8 run=12 shape=group lane=set urgency=low\n\
+            at 70 submit req-000010 pieces=2 cores=1 run=4 lane=urgent urgency=high times=20 every=4\n\
+            expect starts-by req-000001 at=270\nexpect started urgent within=2 share=0.9\n",
+    },
     Case {
         name: "a-set-assigned-in-parts",
         shortage: "next value_kb=2 txn_ops=4\nslices 12\nat 20 limits\nlease 15\nreport 2.5\ncancel 40\n\
