Queues: a lost broker connection is noticed whenever it was lost

What callers saw: a queue process went on running, but took no messages and answered none, until it was restarted.

Cause: the AMQP library reports the loss of a connection once, to those who have subscribed. listen_network_io_failure subscribes at its first poll, and the session called it anew for each wait for a command. A loss between the last response to a command and the next wait was reported to nobody, and the later subscription never ends. After basic.consume no further command comes whose failure would show the loss.

Why this works: connection_lost subscribes first and reads the state of the connection afterwards. The library marks a connection as closed before it reports the loss, so either the report is received or the mark is visible. The select is biased: a reason that the broker gave comes before the loss, which is now visible at once, and both before further commands.

Test: loss_of_connection_before_the_session_waits_for_commands_is_noticed puts the loss into the gap by the order of events on one thread.

--- a/crates/queues/src/runtime/broker/mod.rs
+++ b/crates/queues/src/runtime/broker/mod.rs
@@ -5,6 +5,7 @@
 //! refuses an operation.
 
 mod closure;
+mod connection_loss;
 mod orphan_receipts;
 mod session;
 
--- a/crates/queues/src/runtime/broker/session.rs
+++ b/crates/queues/src/runtime/broker/session.rs
@@ -1,6 +1,7 @@
 //! One connection to the broker while it lasts.
 
 use super::closure::ClosureWatch;
+use super::connection_loss::connection_lost;
 use super::{
     BrokerEvent, Commands, ConnectionError, Events, SessionCommand, orphan_receipts, with_timeout,
 };
@@ -94,10 +95,12 @@
     ) -> Result<(), ConnectionError> {
         let connection = self.connection.clone();
         loop {
+            // The broker's reason comes first: a connection that the broker closed is lost as well.
             let command = tokio::select! {
-                command = commands.recv() => command,
+                biased;
                 () = watch.closed() => return Err(watch.error()),
-                _ = connection.listen_network_io_failure() => return Err(ConnectionError::Lost),
+                () = connection_lost(&connection) => return Err(ConnectionError::Lost),
+                command = commands.recv() => command,
             };
             let Some(SessionCommand {
                 connection,
--- a/crates/queues/tests/loopback.rs
+++ b/crates/queues/tests/loopback.rs
@@ -11,6 +11,7 @@
 use cometlead_queues::runtime::QueueService;
 use cometlead_queues::settings::QueueSettings;
 use fakes::amqp_server::AMQPProperties;
+use fakes::http_services::HttpServices;
 use serde_json::{Value, json};
 use std::time::Duration;
 use test_bed::{Answers, TestBed, request_properties, wait_until, wait_within_poll_limit};
@@ -162,6 +163,35 @@
     assert_eq!((bed.broker.ready_count("work"), submitted), (0, 1));
 }
 
+/// A connection may be lost after the last response to a command and before the session waits for the next command.
+/// The AMQP library reports the loss only to those who wait at that moment.
+///
+/// A single thread makes this order certain. The confirmation of `basic.consume` and both messages arrive together.
+/// The library reads them at once and fails at the second one; then it yields while the first one has no consumer yet,
+/// and the session goes on. The outage of the controllers keeps the session from using the lost connection.
+#[tokio::test(flavor = "current_thread")]
+async fn loss_of_connection_before_the_session_waits_for_commands_is_noticed() {
+    const SEED: u64 = 5;
+    let bed = TestBed::new(SEED, 0, 0).await;
+    let controllers = HttpServices::start(SEED, 0, Duration::ZERO).await;
+    controllers.set_outage(true);
+    let mut settings = bed.settings();
+    settings["controllers"] = json!([controllers.address.to_string()]);
+    bed.send(1, "work", "{}");
+    let not_utf8 = AMQPValue::LongString([0xff, 0xfe].as_slice().into());
+    let undecodable = properties_with(2, &[("owner", not_utf8)]);
+    bed.broker.publish("work", undecodable, b"{}");
+    let service = bed.start_service(1, &settings);
+    let answers = bed.wait_for_answers(1).await;
+    assert_eq!(answers["c2"][0]["reason"], "the headers cannot be read");
+    controllers.set_outage(false);
+    let answers = bed.wait_for_answers(1).await;
+    assert_eq!(answers["c1"][0]["status"], "done");
+    service.stop().await;
+    let submitted = controllers.submitted_jobs().len();
+    assert_eq!((bed.broker.ready_count("work"), submitted), (0, 1));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn service_reconnects_after_missed_heartbeats_of_a_hanging_broker() {
     let bed = TestBed::new(3, 0, 0).await;
