Queues: waiting for commands and transactions of a session apart

Session::serve waits through next_command, without a second name for the connection; transactions have a module of their own (session.rs becomes session/mod.rs, 342 lines -> 277, and 82 for transactions).

No change of behaviour. Tests of the crate pass (10 over loopback).

--- a/crates/queues/src/replicated_log/mod.rs
+++ b/crates/queues/src/replicated_log/mod.rs
@@ -4,8 +4,8 @@
 //! Entries are appended to one open segment at the state service, on condition that the segment still has the revision
 //! that this replica knows. A full segment is closed, and a new one is opened, in the same transaction. After a
 //! conflict, a process reads what others have added, checks its own changes again, and retries those whose conditions
-//! still hold. A batch therefore costs one or two writes, whatever it contains, and no process ever reads a single
-//! entry.
+//! still hold. A batch therefore costs one write, one more if it closes a segment, and one more if it removes an expired
+//! one, whatever it contains. No process ever reads a single entry.
 //!
 //! A batch without a response may still be carried out, but only while the open segment is unchanged; the next batch
 //! depends on the same revision. So at most one of the two is carried out, and a change that turns out to be in
--- a/crates/queues/src/runtime/broker/session.rs
+++ b/crates/queues/src/runtime/broker/session/mod.rs
@@ -1,25 +1,21 @@
 //! One connection to the broker while it lasts.
 
+mod transactions;
+
 use super::closure::ClosureWatch;
 use super::connection_loss::connection_lost;
 use super::{
     BrokerEvent, Commands, ConnectionError, Events, SessionCommand, orphan_receipts, with_timeout,
 };
-use crate::message::{Message, MessageKey};
+use crate::message::Message;
 use crate::progress::ConsumerId;
-use crate::reply::Publication;
 use crate::runtime::own_receipts::OwnReceipts;
 use crate::settings::QueueSettings;
-use crate::state_machine::{BrokerCommand, BrokerTransaction, DeliveryTag, Event};
-use crate::wire::amqp::{
-    dead_letter_properties, decode_message, final_answer_body, receipt_properties,
-    reply_properties, status_update_body,
-};
-use crate::wire::receipts::{decode, encode, queue_name};
-use amqprs::BasicProperties;
+use crate::state_machine::{BrokerCommand, DeliveryTag, Event};
+use crate::wire::amqp::decode_message;
+use crate::wire::receipts::{decode, queue_name};
 use amqprs::channel::{
-    BasicAckArguments, BasicConsumeArguments, BasicPublishArguments, BasicQosArguments, Channel,
-    ConsumerMessage, QueueDeclareArguments,
+    BasicConsumeArguments, BasicQosArguments, Channel, ConsumerMessage, QueueDeclareArguments,
 };
 use amqprs::connection::Connection;
 use parking_lot::Mutex;
@@ -93,25 +89,10 @@
         watch: &ClosureWatch,
         commands: &mut Commands,
     ) -> Result<(), ConnectionError> {
-        let connection = self.connection.clone();
-        loop {
-            // The broker's reason comes first: a connection that the broker closed is lost as well.
-            let command = tokio::select! {
-                biased;
-                () = watch.closed() => return Err(watch.error()),
-                () = connection_lost(&connection) => return Err(ConnectionError::Lost),
-                command = commands.recv() => command,
-            };
-            let Some(SessionCommand {
-                connection,
-                command,
-            }) = command
-            else {
-                return Ok(());
-            };
+        while let Some(command) = self.next_command(watch, commands).await? {
             // Commands for earlier connections are ignored.
-            if connection == self.connection_number {
-                self.execute(command).await?;
+            if command.connection == self.connection_number {
+                self.execute(command.command).await?;
             }
             // A lost connection closes its channels, too; the next wait detects it.
             if !self.channel.is_open() && self.connection.is_open() {
@@ -119,6 +100,22 @@
             }
             self.reap_tasks();
         }
+        Ok(())
+    }
+
+    /// Waits for the next command while the connection lasts. `None` if the sender of commands is dropped.
+    async fn next_command(
+        &self,
+        watch: &ClosureWatch,
+        commands: &mut Commands,
+    ) -> Result<Option<SessionCommand>, ConnectionError> {
+        // The broker's reason comes first: a connection that the broker closed is lost as well.
+        tokio::select! {
+            biased;
+            () = watch.closed() => Err(watch.error()),
+            () = connection_lost(&self.connection) => Err(ConnectionError::Lost),
+            command = commands.recv() => Ok(command),
+        }
     }
 
     fn send(&self, event: Event) {
@@ -210,68 +207,6 @@
         Ok(())
     }
 
-    async fn commit(&self, transaction: BrokerTransaction) -> Result<(), ConnectionError> {
-        let answered: Vec<MessageKey> = transaction
-            .publications
-            .iter()
-            .map(Publication::message)
-            .collect();
-        let obsolete = self
-            .own_receipts
-            .lock()
-            .remove_obsolete(&transaction.obsolete_receipts);
-        for tag in transaction.acks.into_iter().chain(obsolete) {
-            let acknowledged = BasicAckArguments::new(tag, false);
-            with_timeout(self.channel.basic_ack(acknowledged)).await?;
-        }
-        for update in &transaction.status_updates {
-            let properties = reply_properties(update.message, update.correlation_id.as_deref());
-            self.publish(&update.reply_to, properties, status_update_body(update))
-                .await?;
-        }
-        for publication in &transaction.publications {
-            self.publish_final(publication).await?;
-        }
-        self.publish_receipt(&answered).await?;
-        with_timeout(self.channel.tx_commit()).await
-    }
-
-    async fn publish_final(&self, publication: &Publication) -> Result<(), ConnectionError> {
-        match publication {
-            Publication::Answer(answer) => {
-                let properties = reply_properties(answer.message, answer.correlation_id.as_deref());
-                self.publish(&answer.reply_to, properties, final_answer_body(answer))
-                    .await
-            }
-            Publication::DeadLetter(letter) => {
-                let properties = dead_letter_properties(letter);
-                self.publish(&letter.queue, properties, letter.body.clone())
-                    .await
-            }
-        }
-    }
-
-    async fn publish_receipt(&self, answered: &[MessageKey]) -> Result<(), ConnectionError> {
-        match self.own_id {
-            Some(own_id) if !answered.is_empty() => {
-                let queue = queue_name(own_id);
-                self.publish(&queue, receipt_properties(), encode(answered))
-                    .await
-            }
-            _ => Ok(()),
-        }
-    }
-
-    async fn publish(
-        &self,
-        queue: &str,
-        properties: BasicProperties,
-        body: Vec<u8>,
-    ) -> Result<(), ConnectionError> {
-        let arguments = BasicPublishArguments::new("", queue);
-        with_timeout(self.channel.basic_publish(properties, body, arguments)).await
-    }
-
     /// Reads another consumer's receipts in a concurrent task.
     fn read_receipts(&mut self, consumer: ConsumerId) {
         let channels = Arc::clone(&self.receipt_channels);
--- a/crates/queues/src/state_machine/connection.rs
+++ b/crates/queues/src/state_machine/connection.rs
@@ -17,7 +17,7 @@
     Activating,
     /// It consumes messages.
     Active,
-    /// Everything is answered, and that is being written to the log.
+    /// Everything is answered: the log is told, the receipt queue is deleted, and the consumer is deregistered.
     Settling,
 }
 
--- a/crates/queues/tests/loopback.rs
+++ b/crates/queues/tests/loopback.rs
@@ -163,6 +163,13 @@
     assert_eq!((bed.broker.ready_count("work"), submitted), (0, 1));
 }
 
+/// Publishes request number `n` with a header that the AMQP library cannot decode.
+fn publish_undecodable(bed: &TestBed, n: usize) {
+    let not_utf8 = AMQPValue::LongString([0xff, 0xfe].as_slice().into());
+    let properties = properties_with(n, &[("owner", not_utf8)]);
+    bed.broker.publish("work", properties, b"{}");
+}
+
 /// A connection may be lost after the last response to a command and before the session waits for the next command.
 /// The AMQP library reports the loss only to those who wait at that moment.
 ///
@@ -178,9 +185,7 @@
     let mut settings = bed.settings();
     settings["controllers"] = json!([controllers.address.to_string()]);
     bed.send(1, "work", "{}");
-    let not_utf8 = AMQPValue::LongString([0xff, 0xfe].as_slice().into());
-    let undecodable = properties_with(2, &[("owner", not_utf8)]);
-    bed.broker.publish("work", undecodable, b"{}");
+    publish_undecodable(&bed, 2);
     let service = bed.start_service(1, &settings);
     let answers = bed.wait_for_answers(1).await;
     assert_eq!(answers["c2"][0]["reason"], "the headers cannot be read");
@@ -203,9 +208,7 @@
     let mut settings = bed.settings();
     settings["queues"][0]["prefetch"] = json!(1);
     bed.send(1, "work", "{}");
-    let not_utf8 = AMQPValue::LongString([0xff, 0xfe].as_slice().into());
-    let undecodable = properties_with(2, &[("owner", not_utf8)]);
-    bed.broker.publish("work", undecodable, b"{}");
+    publish_undecodable(&bed, 2);
     let service = bed.start_service(1, &settings);
     let answers = bed.wait_for_answers(2).await;
     assert_eq!(answers["c1"][0]["status"], "done");
--- a/crates/queues/tests/measurement.rs
+++ b/crates/queues/tests/measurement.rs
@@ -59,7 +59,7 @@
     for _ in 0..BROKER_RESTART_COUNT {
         measure_recovery(&bed).await;
     }
-    wait_until("half of them", || {
+    wait_until("a quarter of them", || {
         bed.broker.ready_count("answers") > WAITING_MESSAGE_COUNT / 4
     })
     .await;
