Queues: limit of claimants by its name, a command taken apart

MAX_CLAIMANTS was the first count that is refused, and its comment said so against its name. It is now the largest count that is accepted, 254, compared with `>` instead of `>=`: the same limit. The session's loop takes a command apart instead of reading command.command. No change of behaviour.

--- a/crates/queues/src/replicated_log/batch.rs
+++ b/crates/queues/src/replicated_log/batch.rs
@@ -96,7 +96,7 @@
     pub fn exceeds_limits(&self, max_value_bytes: usize) -> bool {
         let claimants = self.claimants.len();
         let bytes = Segment::max_encoded_bytes(self.consumers.len(), claimants, self.entry_count);
-        bytes > max_value_bytes || claimants >= MAX_CLAIMANTS
+        bytes > max_value_bytes || claimants > MAX_CLAIMANTS
     }
 }
 
--- a/crates/queues/src/replicated_log/segment.rs
+++ b/crates/queues/src/replicated_log/segment.rs
@@ -22,8 +22,8 @@
 
 /// Marks an answered message, in the byte where a claim has the position of its claimant.
 const ANSWERED_MARKER: u8 = u8::MAX;
-/// One segment has fewer claimants than this.
-pub(crate) const MAX_CLAIMANTS: usize = ANSWERED_MARKER as usize;
+/// Largest number of claimants in one segment.
+pub(crate) const MAX_CLAIMANTS: usize = ANSWERED_MARKER as usize - 1;
 
 /// Why a segment cannot be decoded.
 #[derive(Debug, thiserror::Error)]
--- a/crates/queues/src/runtime/broker/session/mod.rs
+++ b/crates/queues/src/runtime/broker/session/mod.rs
@@ -89,10 +89,14 @@
         watch: &ClosureWatch,
         commands: &mut Commands,
     ) -> Result<(), ConnectionError> {
-        while let Some(command) = self.next_command(watch, commands).await? {
+        while let Some(SessionCommand {
+            connection,
+            command,
+        }) = self.next_command(watch, commands).await?
+        {
             // Commands for earlier connections are ignored.
-            if command.connection == self.connection_number {
-                self.execute(command.command).await?;
+            if connection == self.connection_number {
+                self.execute(command).await?;
             }
             // A lost connection closes its channels, too; the next wait detects it.
             if !self.channel.is_open() && self.connection.is_open() {
