--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -344,12 +344,14 @@
         self.changed = asyncio.Event()
         self.last_report = 0.0
         self.recall_at = None
-        self.client = None
+        self.client, self.server = None, None
         self.images = set()
         self.tasks = []
 
     async def start(self):
         self.server = await Server(self.on_request).start()
+        if self.dead:
+            return self.server.stop()
         self.endpoint = "127.0.0.1:%d" % self.server.port
         self.lease_from = now()
         self.tasks = [asyncio.create_task(self.report_loop()), asyncio.create_task(self.lease_loop())]
@@ -364,7 +366,8 @@
         self.pieces = {}
         for task in self.tasks:
             task.cancel()
-        self.server.stop()
+        if self.server:
+            self.server.stop()
         if self.client:
             self.client.close()
 
@@ -820,6 +823,9 @@
                 raise
             return 2
         finally:
-            await cell.stop()
+            try:
+                await cell.stop()
+            except Exception as error:
+                cell.record.write("while ending:", type(error).__name__, error)
 
     sys.exit(asyncio.run(run()))
