--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -16,6 +16,7 @@
 import time
 
 START = time.monotonic()
+JOBS = "/work"  # the path of the users' interface
 
 
 def now():
@@ -722,20 +723,21 @@
         return spec
 
     async def ask(self, node, method, path, body=b"", timeout=5.0, quiet=False):
+        what = path.removeprefix(JOBS).lstrip("/") or (json.loads(body)["nameId"] if body else "")
         client = Client(self.bind[node])
         sent = now()
         answer = await client.call(method, path, body, timeout)
         client.close()
         if answer is None:
             if not quiet:
-                self.record.write("user", node, method, path, "no response")
+                self.record.write("user", node, method, what, "no response")
             return None, None
         try:
             value = json.loads(answer[2]) if answer[2] else None
         except ValueError:
             value = None
         if not quiet:
-            self.record.write("user", node, method, path, "->", answer[0], value, "after %.3f s" % (now() - sent))
+            self.record.write("user", node, method, what, "->", answer[0], value, "after %.3f s" % (now() - sent))
         return answer[0], value
 
     async def submit(self, spec, node=None, run_s=1.0, fails=False, patience=60.0):
@@ -744,7 +746,7 @@
         body = json.dumps(spec).encode()
         end = now() + patience
         while True:
-            status, value = await self.ask(node or random.choice(self.names), "POST", "/work", body)
+            status, value = await self.ask(node or random.choice(self.names), "POST", JOBS, body)
             if status in (200, 201, 400, 422) or now() > end:
                 return status, value
             await asyncio.sleep(1.0)
@@ -752,13 +754,13 @@
     async def abort(self, name, node=None, patience=60.0):
         end = now() + patience
         while True:
-            status, value = await self.ask(node or random.choice(self.names), "POST", "/work/%s/abort" % name)
+            status, value = await self.ask(node or random.choice(self.names), "POST", JOBS + "/%s/abort" % name)
             if status == 200 or now() > end:
                 return status, value
             await asyncio.sleep(1.0)
 
     async def poll(self, name, node=None, quiet=False):
-        return await self.ask(node or random.choice(self.names), "GET", "/work/" + name, timeout=2.0, quiet=quiet)
+        return await self.ask(node or random.choice(self.names), "GET", JOBS + "/" + name, timeout=2.0, quiet=quiet)
 
     async def until_done(self, name, limit, node=None):
         end = now() + limit
