Rounds with too many conditions for the lower limits show that these are in force

Cause: a refusal proves the announced limits only if the transaction is beyond them and within the current ones, and that comparison knew changes and sizes of values, not conditions. A round of 2 changes and 21 conditions (4 changes go with 16) taught nothing and was planned again.

The log line did not have the conditions and has them now.

Fix: the size of a transaction has every quantity that the store limits, and one function compares it with limits. A refused round took no effect, so it is planned again without being counted as one of unknown outcome.

--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -3,7 +3,7 @@
 
 use super::events::{CallId, Effect};
 use super::{Controller, api, autoscaler, commit};
-use crate::protocol::state::{CallError, StateRequest, StateResponse};
+use crate::protocol::state::{CallError, StateRequest, StateResponse, TransactionSize};
 use crate::storage::catalog::Catalog;
 use crate::storage::ids::{JobId, MachineId, ShardId};
 use crate::storage::records::{FleetRecord, ProvisionRecord};
@@ -54,20 +54,12 @@
     Probe,
 }
 
-/// Size of a transaction that was sent. If it is refused, the size can show that the state store's announced lower limits
-/// are in force.
-#[derive(Clone, Copy, Debug, Default)]
-struct TransactionSize {
-    changes: usize,
-    /// Bytes of the largest value.
-    largest_value: usize,
-}
-
 /// A call that waits for its response.
 pub(super) struct Call {
     pub(super) purpose: Purpose,
     sent: Micros,
-    /// Set for transactions.
+    /// Set for transactions. If one is refused, its size can show that the state store's announced lower limits are in
+    /// force.
     size: Option<TransactionSize>,
 }
 
@@ -93,10 +85,7 @@
         };
         let id = self.register_call(purpose);
         if let (StateRequest::Transaction(txn), Some(call)) = (&request, self.calls.get_mut(&id)) {
-            call.size = Some(TransactionSize {
-                changes: txn.changes.len(),
-                largest_value: txn.largest_value_bytes(),
-            });
+            call.size = Some(txn.size());
         }
         self.effects.push(Effect::State(id, request, timeout));
         id
@@ -155,14 +144,16 @@
     /// The state store refused a request as invalid. If it was a transaction, the store's limits may be lower than
     /// expected.
     fn on_state_rejected(&mut self, call: &Call) {
-        let TransactionSize {
-            changes,
-            largest_value,
-        } = call.size.unwrap_or_default();
-        if self.limits.on_refused(changes, largest_value) {
+        let size = call.size.unwrap_or_default();
+        if self.limits.on_refused(&size) {
             self.on_limits_lowered("transaction refused");
         } else {
-            tracing::info!(purpose = ?call.purpose, changes, largest_value, "state request refused as invalid");
+            let TransactionSize {
+                changes,
+                conditions,
+                largest_value_bytes: largest_value,
+            } = size;
+            tracing::info!(purpose = ?call.purpose, changes, conditions, largest_value, "state request refused as invalid");
         }
     }
 
@@ -172,6 +163,7 @@
         tracing::info!(
             reason,
             changes = self.limits.max_changes(),
+            conditions = self.limits.max_conditions(),
             bytes = self.limits.stored_value_bytes(),
             rate,
             "state store limits lowered"
--- a/src/coordination/commit/limits.rs
+++ b/src/coordination/commit/limits.rs
@@ -2,6 +2,7 @@
 //! show that the next ones apply.
 
 use crate::protocol::settings::{Settings, StateLimits};
+use crate::protocol::state::TransactionSize;
 use crate::time::Micros;
 use std::collections::VecDeque;
 
@@ -64,6 +65,11 @@
         self.sizes().txn_ops
     }
 
+    /// Most conditions of one transaction.
+    pub fn max_conditions(&self) -> usize {
+        self.sizes().max_conditions()
+    }
+
     /// Bytes that a newly written value may have, whichever limits are in force.
     pub fn value_bytes(&self) -> usize {
         self.current.value_bytes.min(self.next.value_bytes)
@@ -83,13 +89,11 @@
         }
     }
 
-    /// The store refused a transaction with this many changes and a largest value of this many bytes as
-    /// invalid. Returns whether that shows that the next limits are in force from now on.
-    pub fn on_refused(&mut self, changes: usize, largest_value: usize) -> bool {
-        let is_within =
-            |limits: &StateLimits| changes <= limits.txn_ops && largest_value <= limits.value_bytes;
+    /// The store refused a transaction of this size as invalid. Returns whether that shows that the next
+    /// limits are in force from now on.
+    pub fn on_refused(&mut self, size: &TransactionSize) -> bool {
         let is_proof =
-            !self.next_sizes_in_force && is_within(&self.current) && !is_within(&self.next);
+            !self.next_sizes_in_force && self.current.allow(size) && !self.next.allow(size);
         self.next_sizes_in_force |= is_proof;
         is_proof
     }
--- a/src/coordination/commit/mod.rs
+++ b/src/coordination/commit/mod.rs
@@ -92,9 +92,6 @@
     /// Most machines on which one round preempts tasks.
     const MAX_PREEMPTION_MACHINES_PER_ROUND: usize = 4;
 
-    /// Conditions of a transaction for each change that it may have.
-    const CONDITIONS_PER_CHANGE: usize = 4;
-
     /// Changes that the end of a job takes in addition to those of the release that causes it.
     const JOB_END_CHANGES: usize = 2;
 
@@ -158,10 +155,9 @@
     }
 
     fn transaction_limits(&self) -> TransactionLimits {
-        let changes = self.limits.max_changes();
         TransactionLimits {
-            changes,
-            conditions: changes * Self::CONDITIONS_PER_CHANGE,
+            changes: self.limits.max_changes(),
+            conditions: self.limits.max_conditions(),
             value_bytes: self.limits.value_bytes(),
             stored_value_bytes: self.limits.stored_value_bytes(),
             oversized_may_grow: !self.cell.uses_compact_encoding(),
--- a/src/coordination/commit/result.rs
+++ b/src/coordination/commit/result.rs
@@ -30,7 +30,7 @@
             Ok(StateResponse::Conflict(keys, revision)) => {
                 self.on_round_conflict(&round, &keys, revision);
             }
-            Err(CallError::Unavailable | CallError::RateLimited) => {
+            Err(CallError::Unavailable | CallError::RateLimited | CallError::Rejected) => {
                 self.rounds.delay_until(self.now.monotonic + RETRY_DELAY);
             }
             _ => self.on_round_outcome_unknown(round),
--- a/src/coordination/constraints/declaration.rs
+++ b/src/coordination/constraints/declaration.rs
@@ -11,9 +11,6 @@
 /// Minimum time between two writes of rule sets.
 const WRITE_INTERVAL: Micros = Micros::millis(500);
 
-/// Maximum number of conditions in a withdrawal, as a multiple of the changes that a transaction may have.
-const CONDITIONS_PER_CHANGE: usize = 4;
-
 /// Which controllers use which rule set, and the state of writes of rule sets.
 #[derive(Debug, Default)]
 pub(super) struct Declaration {
@@ -120,7 +117,7 @@
         let conditions = [(key.clone(), set.mod_revision)]
             .into_iter()
             .chain(nodes)
-            .take(self.limits.max_changes() * CONDITIONS_PER_CHANGE)
+            .take(self.limits.max_conditions())
             .collect();
         Some(Transaction {
             conditions,
--- a/src/coordination/leadership/format_upgrade.rs
+++ b/src/coordination/leadership/format_upgrade.rs
@@ -5,9 +5,6 @@
 use crate::storage::records::{INITIAL_FORMAT, Key, MetaRecord, format_has_rules};
 use std::collections::BTreeMap;
 
-/// Maximum number of conditions in an upgrade, as a multiple of the changes that a transaction may have.
-const CONDITIONS_PER_CHANGE: usize = 4;
-
 /// Which record formats the controllers understand, and which one is in force.
 #[derive(Debug, Default)]
 pub(super) struct FormatUpgrade {
@@ -131,7 +128,7 @@
         [(Key::Meta, self.cell.meta.mod_revision)]
             .into_iter()
             .chain(nodes)
-            .take(self.limits.max_changes() * CONDITIONS_PER_CHANGE)
+            .take(self.limits.max_conditions())
             .collect()
     }
 }
--- a/src/protocol/settings/mod.rs
+++ b/src/protocol/settings/mod.rs
@@ -3,6 +3,7 @@
 mod file;
 mod validation;
 
+use crate::protocol::state::TransactionSize;
 use crate::time::Micros;
 use file::DeployFile;
 use std::net::SocketAddrV4;
@@ -107,6 +108,23 @@
     pub txn_ops: usize,
 }
 
+impl StateLimits {
+    /// Conditions that a transaction may have for each change that it may have.
+    const CONDITIONS_PER_CHANGE: usize = 4;
+
+    /// Largest number of conditions in one transaction.
+    pub fn max_conditions(&self) -> usize {
+        self.txn_ops.saturating_mul(Self::CONDITIONS_PER_CHANGE)
+    }
+
+    /// Whether the store accepts a transaction of this size.
+    pub fn allow(&self, size: &TransactionSize) -> bool {
+        size.changes <= self.txn_ops
+            && size.conditions <= self.max_conditions()
+            && size.largest_value_bytes <= self.value_bytes
+    }
+}
+
 /// The validated settings of a controller.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -56,7 +56,27 @@
     pub changes: Vec<KeyChange>,
 }
 
+/// Size of a transaction, in the quantities that the state store limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TransactionSize {
+    /// Number of changes.
+    pub changes: usize,
+    /// Number of conditions.
+    pub conditions: usize,
+    /// Bytes of the largest value.
+    pub largest_value_bytes: usize,
+}
+
 impl Transaction {
+    /// Its size.
+    pub fn size(&self) -> TransactionSize {
+        TransactionSize {
+            changes: self.changes.len(),
+            conditions: self.conditions.len(),
+            largest_value_bytes: self.largest_value_bytes(),
+        }
+    }
+
     /// Size of the largest value that it writes, in bytes.
     pub fn largest_value_bytes(&self) -> usize {
         self.changes
