Transactions have no more changes than the store accepts in a second

What callers saw: where the store accepts fewer changes a second than a transaction may have, full rounds were refused with 429 for ever; ends of tasks were not recorded and jobs stayed `running`.

Cause: the rate allows bursts of what the store accepts in a second, so a larger transaction never finds enough. The controller bounded transactions by txn_ops alone.

Evidence: the fake state service let a burst be as large as the transaction that asked for it, which the protocol does not allow ("bursts of one second's worth").

Fix: a transaction has at most as many changes as a burst of the lower of the current and the announced rate.

--- a/crates/emulator/src/fakes/state.rs
+++ b/crates/emulator/src/fakes/state.rs
@@ -96,8 +96,9 @@
     }
 
     fn try_take(&mut self, now: u64, amount: f64) -> bool {
-        self.level = (self.level + self.rate * (now - self.updated_at) as f64 / 1e6)
-            .min(self.rate.max(amount));
+        // A lower rate than one would allow nothing ever.
+        let capacity = self.rate.max(1.0);
+        self.level = (self.level + self.rate * (now - self.updated_at) as f64 / 1e6).min(capacity);
         self.updated_at = now;
         let enough = self.level >= amount;
         if enough {
--- a/src/cli/controller.rs
+++ b/src/cli/controller.rs
@@ -46,6 +46,9 @@
         run = format!("{incarnation:016x}"),
         "starting"
     );
+    if !settings.write_rates_suffice() {
+        tracing::error!("params.state.write_rps is below 3: the ends of jobs cannot be recorded");
+    }
     if settings.max_contact_age() == Micros::ZERO {
         tracing::error!(
             "params.workers.cancel_s leaves no time after lease_s: agent leases cannot be renewed"
--- a/src/coordination/commit/limits.rs
+++ b/src/coordination/commit/limits.rs
@@ -60,9 +60,11 @@
         self.next_rate_in_force || self.next_sizes_in_force
     }
 
-    /// Most changes of one transaction.
+    /// Most changes of one transaction: what the store accepts, and no more than fit into a burst of the
+    /// lower of both rates, whichever is in force. The store would refuse a larger transaction for ever.
     pub fn max_changes(&self) -> usize {
-        self.sizes().txn_ops
+        let burst = self.current.burst_changes().min(self.next.burst_changes());
+        self.sizes().txn_ops.min(burst)
     }
 
     /// Most conditions of one transaction.
--- a/src/protocol/settings/mod.rs
+++ b/src/protocol/settings/mod.rs
@@ -117,6 +117,12 @@
         self.txn_ops.saturating_mul(Self::CONDITIONS_PER_CHANGE)
     }
 
+    /// Largest number of changes that the store accepts at a time because of its rate: what it accepts in a second, at
+    /// least one.
+    pub fn burst_changes(&self) -> usize {
+        self.write_rps.max(1.0) as usize
+    }
+
     /// Whether the store accepts a transaction of this size.
     pub fn allow(&self, size: &TransactionSize) -> bool {
         size.changes <= self.txn_ops
@@ -172,6 +178,10 @@
     pub clock_error: Micros,
 }
 
+/// Smallest burst of changes with which jobs can end: the end of a job's last task writes its machine group, removes the
+/// job's record and writes its final record.
+const MIN_BURST_CHANGES: usize = 3;
+
 impl Settings {
     /// Reads and validates the file at `path`.
     ///
@@ -226,6 +236,14 @@
         self.cancellation_timeout - self.agent_lease.with_drift() - CANCELLATION_MARGIN
     }
 
+    /// Whether jobs can end at the state store's rates, the current and the announced one.
+    pub fn write_rates_suffice(&self) -> bool {
+        let limits = [&self.state_limits, &self.announced_state_limits];
+        limits
+            .iter()
+            .all(|limits| limits.burst_changes() >= MIN_BURST_CHANGES)
+    }
+
     /// Number of controllers, this one included.
     pub fn controller_count(&self) -> usize {
         self.peers.len() + 1
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -76,3 +76,16 @@
         );
     }
 }
+
+/// Guards against rates at which jobs start and never end without anybody being told: a job's end takes three changes in one transaction.
+#[test]
+fn write_rates_too_low_for_the_end_of_a_job_are_noticed() {
+    for (next, suffice) in [
+        (json!(null), true),
+        (json!({"write_rps": 3.0}), true),
+        (json!({"write_rps": 2.9}), false),
+    ] {
+        let settings = settings(next.clone(), 10.0, 35.0).unwrap();
+        assert_eq!(settings.write_rates_suffice(), suffice, "{next}");
+    }
+}
