The bytes of a transaction's keys count towards its limit

What callers saw: nothing yet.

Cause: the builder bounded the values at 56 KiB and left what remains to keys and revisions, however many conditions the settings allow.

Evidence: the new test with 200 changes and 800 conditions: before, a round of 72 assignments has a body of 82,145 bytes.

Fix: the room for values is what the keys leave of 64 KiB, at most 56 KiB as before. At 12 changes nothing changes.

Test: transaction_of_many_conditions_and_large_values_stays_within_the_limit_of_its_bytes fails before (82,145 bytes) and passes now.

--- a/src/coordination/commit/transaction/compaction.rs
+++ b/src/coordination/commit/transaction/compaction.rs
@@ -2,7 +2,7 @@
 //! have: each step leaves a complete state.
 
 use super::edits::{GroupEdit, size_of};
-use super::limits::{MAX_TRANSACTION_BYTES, SPARE_BYTES};
+use super::limits::{SPARE_BYTES, max_values_bytes};
 use super::required_records::{RequiredJob, RequiredRecords};
 use super::{GroupId, TermUpdate, TransactionBuilder, TransactionLimits};
 use crate::storage::cell_state::CellState;
@@ -60,7 +60,10 @@
         if bytes + SPARE_BYTES / 2 > self.limits.value_bytes {
             return true;
         }
-        if self.bytes + bytes > MAX_TRANSACTION_BYTES {
+        // The new groups, one more for the machine, and the group itself or the shard's term; each is a
+        // condition as well.
+        let changes = self.new_groups.len() + 2;
+        if self.bytes + bytes > max_values_bytes(changes, 2 * changes) {
             return false;
         }
         // A full machine may take more bytes than it does now.
--- a/src/coordination/commit/transaction/limits.rs
+++ b/src/coordination/commit/transaction/limits.rs
@@ -1,7 +1,30 @@
 //! Limits of a transaction and of the values that it writes.
 
-/// Bytes that a transaction may take; the state store allows a little more.
-pub(super) const MAX_TRANSACTION_BYTES: usize = 56 * 1024;
+/// Bytes that the values of a transaction may take together.
+const MAX_VALUES_BYTES: usize = 56 * 1024;
+
+/// Bytes that the state store accepts in a transaction, its keys included.
+const MAX_TRANSACTION_BYTES: usize = 64 * 1024;
+
+/// Bytes of a transaction without conditions and changes.
+const EMPTY_TRANSACTION_BYTES: usize = 32;
+
+/// Most bytes of a key that a commit round names.
+const MAX_KEY_BYTES: usize = 40;
+
+/// Most bytes that a condition takes in a transaction.
+const MAX_CONDITION_BYTES: usize = MAX_KEY_BYTES + 40;
+
+/// Most bytes that a change takes in a transaction, without its value.
+const MAX_CHANGE_BYTES: usize = MAX_KEY_BYTES + 24;
+
+/// Bytes that the values of a transaction with this many changes and conditions may take together.
+pub(super) fn max_values_bytes(changes: usize, conditions: usize) -> usize {
+    let keys = changes * MAX_CHANGE_BYTES + conditions * MAX_CONDITION_BYTES;
+    MAX_TRANSACTION_BYTES
+        .saturating_sub(EMPTY_TRANSACTION_BYTES + keys)
+        .min(MAX_VALUES_BYTES)
+}
 
 /// Bytes kept free in a record for health changes of machines, which must not wait. In a small record
 /// less is kept free.
@@ -49,3 +72,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/coordination/commit/transaction/limits/tests.rs
@@ -0,0 +1,91 @@
+//! Tests of what the state store would refuse for the size of a transaction.
+
+use super::super::edits::size_of;
+use super::super::tests::{machine, replica_of};
+use super::{MAX_TRANSACTION_BYTES, TransactionLimits};
+use crate::coordination::commit::transaction::TransactionBuilder;
+use crate::storage::cell_state::{CellChanges, CellState, Change, Content};
+use crate::storage::ids::{Attempt, JobId, MachineId, TaskId};
+use crate::storage::job::JobRecord;
+use crate::storage::records::{GroupRecord, INITIAL_FORMAT, Key};
+
+const VALUE_BYTES: usize = 16 * 1024;
+
+fn limits(changes: usize) -> TransactionLimits {
+    TransactionLimits {
+        changes,
+        conditions: 4 * changes,
+        value_bytes: VALUE_BYTES,
+        stored_value_bytes: VALUE_BYTES,
+        oversized_may_grow: false,
+        group_bytes: VALUE_BYTES,
+    }
+}
+
+fn insert(cell: &mut CellState, key: Key, content: Content) {
+    let change = Change {
+        key,
+        content: Some(content),
+        mod_revision: 1_000_000,
+    };
+    cell.apply([change], &mut CellChanges::default());
+}
+
+fn one_task_job() -> JobRecord {
+    let text =
+        r#"{"s":{"l":"lane","w":"free","u":"2","n":1,"r":{"c":10},"i":"img","g":9000000},"t":1}"#;
+    serde_json::from_str(text).unwrap()
+}
+
+/// A group of about 13 KiB; its first machine is the given one.
+fn large_group(first: u64) -> GroupRecord {
+    let mut group = GroupRecord::default();
+    for id in first.. {
+        group.machines.insert(MachineId(id), machine());
+        if size_of(&group) > 13 * 1024 {
+            break;
+        }
+    }
+    group
+}
+
+/// Guards against a round that the store refuses for ever because its keys and values together have more than 64 KiB.
+#[test]
+fn transaction_of_many_conditions_and_large_values_stays_within_the_limit_of_its_bytes() {
+    const GROUPS: u64 = 4;
+    const JOBS: u64 = 700;
+    const MACHINES_PER_GROUP: u64 = 10_000;
+    let mut cell = replica_of(INITIAL_FORMAT);
+    for index in 0..GROUPS {
+        let group = large_group(100_000 + index * MACHINES_PER_GROUP);
+        let key = Key::Group(0, index as u32);
+        insert(&mut cell, key, Content::Group(group));
+    }
+    for id in 1..=JOBS {
+        let record = Box::new(one_task_job());
+        insert(
+            &mut cell,
+            Key::Job(JobId(900_000 + id)),
+            Content::Job(record),
+        );
+    }
+    cell.advance(1_000_000);
+    let mut transaction = TransactionBuilder::new(&cell, limits(200));
+    let assigned = (1..=JOBS)
+        .filter(|id| {
+            let task = TaskId {
+                job: JobId(900_000 + id),
+                index: 0,
+            };
+            let first = MachineId(100_000 + id % GROUPS * MACHINES_PER_GROUP);
+            transaction.assign(first, Attempt { task, number: 1 })
+        })
+        .count();
+    let body = transaction.build().txn.body();
+    assert!(assigned > 50, "{assigned} tasks are assigned");
+    assert!(
+        body.len() <= MAX_TRANSACTION_BYTES,
+        "{} bytes, {assigned} tasks",
+        body.len()
+    );
+}
--- a/src/coordination/commit/transaction/required_records.rs
+++ b/src/coordination/commit/transaction/required_records.rs
@@ -1,7 +1,7 @@
 //! The records that an edit requires. They are opened only if the whole edit is within the limits.
 
 use super::edits::{GroupEdit, JobEdit, UsageEdit, size_of};
-use super::limits::MAX_TRANSACTION_BYTES;
+use super::limits::max_values_bytes;
 use super::{GroupId, TransactionBuilder};
 use crate::storage::cell_state::Job;
 use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
@@ -76,7 +76,9 @@
     pub(super) fn reserve(&mut self, required: RequiredRecords<'_>) -> bool {
         let missing = self.missing_records(&required);
         let conditions = required.all_conditions();
-        if !self.is_within_counts(missing.changes, &conditions) {
+        let changes_after = self.changes() + missing.changes;
+        let conditions_after = self.conditions_after(changes_after, &conditions);
+        if changes_after > self.limits.changes || conditions_after > self.limits.conditions {
             return false;
         }
         let opened = self.open_records(&missing);
@@ -84,7 +86,7 @@
             return false;
         }
         let bytes = self.bytes + opened.bytes() + missing.job_bytes;
-        if bytes > MAX_TRANSACTION_BYTES {
+        if bytes > max_values_bytes(changes_after, conditions_after) {
             return false;
         }
         self.bytes = bytes;
@@ -125,16 +127,14 @@
         missing
     }
 
-    /// Whether the limits allow this many more changes, and these conditions.
-    fn is_within_counts(&self, more_changes: usize, conditions: &[Key]) -> bool {
-        let changes = self.changes() + more_changes;
-        let new_conditions = conditions
+    /// Most conditions that the transaction has with this many changes and these additional conditions.
+    fn conditions_after(&self, changes: usize, additional: &[Key]) -> usize {
+        let new_conditions = additional
             .iter()
             .filter(|key| !self.conditions.contains(key))
             .count();
         // Every written key is a condition as well.
-        let all_conditions = changes + self.conditions.len() + new_conditions;
-        changes <= self.limits.changes && all_conditions <= self.limits.conditions
+        changes + self.conditions.len() + new_conditions
     }
 
     fn open_records(&self, missing: &MissingRecords) -> OpenedRecords {
@@ -206,11 +206,13 @@
 
     /// Lets a group grow by this many bytes if that leaves `spare` bytes free; false otherwise.
     pub(super) fn grow(&mut self, group: GroupId, growth: usize, spare: usize) -> bool {
+        let changes = self.changes();
+        let max_bytes = max_values_bytes(changes, self.conditions_after(changes, &[]));
         let Some(edit) = self.groups.get_mut(&group) else {
             return false;
         };
         if !edit.ensure_capacity(growth, spare, self.compact_encoding)
-            || self.bytes + growth > MAX_TRANSACTION_BYTES
+            || self.bytes + growth > max_bytes
         {
             return false;
         }
