The removal of a chunk counts its condition

A round that is full of assignments and removes a chunk of a cancelled large job had one condition too many and was refused with 400.

Cause: end_cancelled compared only the changes with their limit.

Evidence: the new test, with 4 changes and 16 conditions: 12 assignments and the removal made 17 conditions before.

Fix: it asks the function that all other edits ask; the chunk is removed by a later round.

Test: removal_of_a_chunk_beside_many_assignments_stays_within_the_limit_of_conditions fails before (17 conditions), passes now; so do the other tests of transactions.

--- a/src/coordination/commit/transaction/job_ends.rs
+++ b/src/coordination/commit/transaction/job_ends.rs
@@ -28,7 +28,8 @@
             return true;
         };
         if let Some(chunk) = job.chunks.keys().next() {
-            if self.changes() + 1 > self.limits.changes {
+            let changes = self.changes() + 1;
+            if !self.is_within_counts(changes, self.conditions_after(changes, &[])) {
                 return false;
             }
             self.removed_chunks.insert((id, *chunk));
--- a/src/coordination/commit/transaction/limits/tests.rs
+++ b/src/coordination/commit/transaction/limits/tests.rs
@@ -5,9 +5,10 @@
 use super::{MAX_TRANSACTION_BYTES, TransactionLimits};
 use crate::coordination::commit::transaction::TransactionBuilder;
 use crate::storage::cell_state::{CellChanges, CellState, Change, Content};
+use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
 use crate::storage::ids::{Attempt, JobId, MachineId, TaskId};
 use crate::storage::job::JobRecord;
-use crate::storage::records::{GroupRecord, INITIAL_FORMAT, Key};
+use crate::storage::records::{COMPACT_FORMAT, GroupRecord, INITIAL_FORMAT, Key};
 
 const VALUE_BYTES: usize = 16 * 1024;
 
@@ -37,6 +38,14 @@
     serde_json::from_str(text).unwrap()
 }
 
+fn attempt(job: u64) -> Attempt {
+    let task = TaskId {
+        job: JobId(job),
+        index: 0,
+    };
+    Attempt { task, number: 1 }
+}
+
 /// A group of about 13 KiB; its first machine is the given one.
 fn large_group(first: u64) -> GroupRecord {
     let mut group = GroupRecord::default();
@@ -73,12 +82,8 @@
     let mut transaction = TransactionBuilder::new(&cell, limits(200));
     let assigned = (1..=JOBS)
         .filter(|id| {
-            let task = TaskId {
-                job: JobId(900_000 + id),
-                index: 0,
-            };
             let first = MachineId(100_000 + id % GROUPS * MACHINES_PER_GROUP);
-            transaction.assign(first, Attempt { task, number: 1 })
+            transaction.assign(first, attempt(900_000 + id))
         })
         .count();
     let body = transaction.build().txn.body();
@@ -89,3 +94,43 @@
         body.len()
     );
 }
+
+/// Guards against a refusal of the whole round because chunks of cancelled jobs are removed beyond the limit of its conditions.
+#[test]
+fn removal_of_a_chunk_beside_many_assignments_stays_within_the_limit_of_conditions() {
+    const CHANGES: usize = 4;
+    const CANCELLED: JobId = JobId(50);
+    let mut cell = replica_of(COMPACT_FORMAT);
+    let mut group = GroupRecord::default();
+    group.machines.insert(MachineId(1), machine());
+    insert(&mut cell, Key::Group(0, 0), Content::Group(group));
+    for id in 1..=40 {
+        let record = Box::new(one_task_job());
+        insert(&mut cell, Key::Job(JobId(id)), Content::Job(record));
+    }
+    let mut cancelled = one_task_job();
+    cancelled.cancelled = true;
+    cancelled.spec.task_count = 2 * TASKS_PER_CHUNK;
+    insert(
+        &mut cell,
+        Key::Job(CANCELLED),
+        Content::Job(Box::new(cancelled)),
+    );
+    let mut chunk = CompletionBitmap::default();
+    chunk.insert(1);
+    insert(&mut cell, Key::Chunk(CANCELLED, 1), Content::Chunk(chunk));
+    cell.advance(1_000_000);
+    let mut transaction = TransactionBuilder::new(&cell, limits(CHANGES));
+    let assigned = (1..=40)
+        .filter(|id| transaction.assign(MachineId(1), attempt(*id)))
+        .count();
+    let is_removed = transaction.end_cancelled(CANCELLED);
+    let conditions = transaction.build().txn.conditions.len();
+    assert!(
+        assigned > 8 && conditions <= 4 * CHANGES,
+        "{conditions} conditions, {assigned} tasks"
+    );
+    assert!(!is_removed, "the chunk is removed");
+    let mut alone = TransactionBuilder::new(&cell, limits(CHANGES));
+    assert!(alone.end_cancelled(CANCELLED), "the chunk is not removed");
+}
--- a/src/coordination/commit/transaction/required_records.rs
+++ b/src/coordination/commit/transaction/required_records.rs
@@ -78,7 +78,7 @@
         let conditions = required.all_conditions();
         let changes_after = self.changes() + missing.changes;
         let conditions_after = self.conditions_after(changes_after, &conditions);
-        if changes_after > self.limits.changes || conditions_after > self.limits.conditions {
+        if !self.is_within_counts(changes_after, conditions_after) {
             return false;
         }
         let opened = self.open_records(&missing);
@@ -127,8 +127,13 @@
         missing
     }
 
+    /// Whether the limits allow this many changes and conditions.
+    pub(super) fn is_within_counts(&self, changes: usize, conditions: usize) -> bool {
+        changes <= self.limits.changes && conditions <= self.limits.conditions
+    }
+
     /// Most conditions that the transaction has with this many changes and these additional conditions.
-    fn conditions_after(&self, changes: usize, additional: &[Key]) -> usize {
+    pub(super) fn conditions_after(&self, changes: usize, additional: &[Key]) -> usize {
         let new_conditions = additional
             .iter()
             .filter(|key| !self.conditions.contains(key))
