Rounds leave out what makes a job's record too large for the store

What callers saw: after the limits had fallen, one job with a record from before the announcement (300 awaited jobs) whose task failed stopped all rounds of its controller: ordinary jobs waited for ever beside machines that fit.

Cause: rounds look at the sizes of groups and usage records before writing them, not at those of jobs' records.

Fix: each edit of a job's record asks whether the store accepts the result. A failure that does not fit is not recorded and the task released all the same; a completion that does not fit waits unless it ends the job. A record that may be too large loses the dependencies of a job that is ready, since done stays done.

The scenario runner can announce limits later and read ranges of awaited jobs.

--- a/src/coordination/commit/transaction/compaction.rs
+++ b/src/coordination/commit/transaction/compaction.rs
@@ -190,6 +190,9 @@
         }
         let mut moved = false;
         for id in self.jobs_by_bitmap_bytes(shard) {
+            if !self.accepts_merged_completions(id, shard) {
+                continue;
+            }
             let required = RequiredRecords {
                 usage: opened.then_some(shard),
                 job: Some(RequiredJob {
@@ -211,6 +214,18 @@
         moved
     }
 
+    /// Whether the store accepts a job's record with the completions that a usage record keeps for the job.
+    fn accepts_merged_completions(&self, id: JobId, shard: ShardId) -> bool {
+        let kept = self.cell.usage[shard].value.finished_tasks.get(&id);
+        self.cell.jobs.get(&id).is_none_or(|job| {
+            self.accepts_job_record(id, job, |edit| {
+                if let Some(ends) = kept {
+                    edit.record.finished.merge(ends);
+                }
+            })
+        })
+    }
+
     fn is_usage_small_enough(&self, shard: ShardId) -> bool {
         self.usage
             .get(&shard)
--- a/src/coordination/commit/transaction/edits.rs
+++ b/src/coordination/commit/transaction/edits.rs
@@ -88,14 +88,18 @@
     pub chunks: BTreeMap<u32, CompletionBitmap>,
     /// How the job ends with this transaction, if it does.
     pub ended: Option<FinalRecord>,
+    /// Upper bound of the record's bytes, whatever is edited.
+    pub max_bytes: usize,
 }
 
 impl JobEdit {
-    pub fn new(record: JobRecord) -> JobEdit {
+    /// An edit of a record that takes at most `max_bytes`.
+    pub fn new(record: JobRecord, max_bytes: usize) -> JobEdit {
         JobEdit {
             record,
             chunks: BTreeMap::new(),
             ended: None,
+            max_bytes,
         }
     }
 
--- a/src/coordination/commit/transaction/job_ends.rs
+++ b/src/coordination/commit/transaction/job_ends.rs
@@ -78,6 +78,9 @@
             return true;
         };
         let shard = self.cell.shard_of_job(id, job.spec());
+        if !self.accepts_job_record(id, job, |_| ()) {
+            return false;
+        }
         self.reserve(RequiredRecords {
             usage: (!self.usage_from_groups).then_some(shard),
             job: Some(RequiredJob {
--- a/src/coordination/commit/transaction/limits/tests.rs
+++ b/src/coordination/commit/transaction/limits/tests.rs
@@ -1,16 +1,20 @@
 //! Tests of what the state store would refuse for the size of a transaction.
 
 use super::super::edits::size_of;
-use super::super::tests::{machine, replica_of};
+use super::super::tests::{apply, machine, replica_of};
 use super::{MAX_TRANSACTION_BYTES, TransactionLimits};
-use crate::coordination::commit::transaction::TransactionBuilder;
+use crate::coordination::agents::AssignmentOutcome;
+use crate::coordination::commit::transaction::{PlannedTransaction, TransactionBuilder};
 use crate::storage::cell_state::{CellChanges, CellState, Change, Content};
 use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
 use crate::storage::ids::{Attempt, JobId, MachineId, TaskId};
-use crate::storage::job::JobRecord;
-use crate::storage::records::{COMPACT_FORMAT, GroupRecord, INITIAL_FORMAT, Key};
+use crate::storage::job::{FinalRecord, JobRecord};
+use crate::storage::records::{Assignment, COMPACT_FORMAT, GroupRecord, INITIAL_FORMAT, Key};
+use crate::time::Micros;
 
 const VALUE_BYTES: usize = 16 * 1024;
+const LOWER_VALUE_BYTES: usize = 2 * 1024;
+const OVERSIZED: JobId = JobId(700_000);
 
 fn limits(changes: usize) -> TransactionLimits {
     TransactionLimits {
@@ -134,3 +138,75 @@
     let mut alone = TransactionBuilder::new(&cell, limits(CHANGES));
     assert!(alone.end_cancelled(CANCELLED), "the chunk is not removed");
 }
+
+/// A replica in which a task of this job is assigned to a machine. Its record is larger than [`LOWER_VALUE_BYTES`].
+fn replica_with_oversized_job(job: JobRecord) -> CellState {
+    assert!(size_of(&job) > LOWER_VALUE_BYTES, "{} bytes", size_of(&job));
+    let mut cell = replica_of(COMPACT_FORMAT);
+    let mut record = machine();
+    record.tasks.push(Assignment::of(attempt(OVERSIZED.0)));
+    let mut group = GroupRecord::default();
+    group.machines.insert(MachineId(1), record);
+    insert(&mut cell, Key::Job(OVERSIZED), Content::Job(Box::new(job)));
+    insert(&mut cell, Key::Group(0, 0), Content::Group(group));
+    cell.advance(1_000_000);
+    cell
+}
+
+fn release(cell: &CellState, outcome: AssignmentOutcome) -> PlannedTransaction {
+    let lower_limits = TransactionLimits {
+        value_bytes: LOWER_VALUE_BYTES,
+        stored_value_bytes: LOWER_VALUE_BYTES,
+        group_bytes: LOWER_VALUE_BYTES,
+        ..limits(4)
+    };
+    let mut transaction = TransactionBuilder::new(cell, lower_limits);
+    assert!(transaction.release(MachineId(1), attempt(OVERSIZED.0), outcome, 0));
+    let planned = transaction.build();
+    let largest = planned.txn.largest_value_bytes();
+    assert!(largest <= LOWER_VALUE_BYTES, "a value of {largest} bytes");
+    planned
+}
+
+/// Guards against a round that is refused for ever because it records a failure in a record which the lower limits do not allow.
+#[test]
+fn failure_of_a_job_whose_record_cannot_be_written_releases_the_task_all_the_same() {
+    let mut job = one_task_job();
+    job.spec.machine_types = Some(vec!["type-with-a-long-name".to_owned(); 100]);
+    let mut cell = replica_with_oversized_job(job);
+    let planned = release(&cell, AssignmentOutcome::Failed);
+    apply(&mut cell, planned, 1_000_001);
+    assert!(cell.machine(MachineId(1)).unwrap().tasks.is_empty());
+    assert!(cell.jobs.contains_key(&OVERSIZED));
+}
+
+/// Guards against a job that never ends under lower limits because its record is too large, although the end removes the record.
+#[test]
+fn end_of_a_job_whose_record_cannot_be_written_is_recorded() {
+    let mut job = one_task_job();
+    job.spec.machine_types = Some(vec!["type-with-a-long-name".to_owned(); 100]);
+    let cell = replica_with_oversized_job(job);
+    let planned = release(&cell, AssignmentOutcome::Done);
+    assert_eq!(planned.ended.len(), 1);
+}
+
+/// Guards against a job whose failures are never recorded under lower limits because of the jobs that it had to wait for.
+#[test]
+fn record_that_cannot_be_written_loses_the_dependencies_of_a_job_that_is_ready() {
+    let mut job = one_task_job();
+    job.spec.dependencies = (100_000..100_400).map(JobId).collect();
+    let mut cell = replica_with_oversized_job(job);
+    let done = FinalRecord {
+        cancelled: false,
+        done: 1,
+        ended_at: Micros::secs(1),
+    };
+    for id in 100_000..100_400 {
+        cell.on_end_learned(JobId(id), done, &mut CellChanges::default());
+    }
+    assert!(cell.jobs[&OVERSIZED].is_ready());
+    let planned = release(&cell, AssignmentOutcome::Failed);
+    apply(&mut cell, planned, 1_000_001);
+    let job = &cell.jobs[&OVERSIZED];
+    assert!(job.record.failures == 1 && job.is_ready());
+}
--- a/src/coordination/commit/transaction/releases.rs
+++ b/src/coordination/commit/transaction/releases.rs
@@ -7,7 +7,7 @@
 use crate::coordination::agents::AssignmentOutcome;
 use crate::storage::cell_state::Job;
 use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
-use crate::storage::ids::{Attempt, JobId, MachineId, ShardId};
+use crate::storage::ids::{Attempt, JobId, MachineId, ShardId, TaskId};
 use crate::storage::job::FinalRecord;
 use crate::storage::records::{Assignment, Key};
 
@@ -37,6 +37,21 @@
     record: OutcomeRecord,
 }
 
+/// What the completion of a task changes beside its job's record.
+#[derive(Clone, Copy, Debug)]
+struct Completion {
+    /// Another chunk of the job's bitmap is written.
+    opens_chunk: bool,
+    /// It was the job's last task.
+    ends_job: bool,
+}
+
+impl Completion {
+    fn changes(self) -> usize {
+        usize::from(self.opens_chunk) + usize::from(self.ends_job)
+    }
+}
+
 /// How many of the records that a release writes could be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReleaseExtent {
@@ -113,8 +128,10 @@
             && self.is_kept_in_usage(job, attempt, usage_shard)
         {
             OutcomeRecord::Usage
-        } else {
+        } else if outcome == AssignmentOutcome::Done || self.accepts_failure(machine, id, job) {
             OutcomeRecord::Job
+        } else {
+            OutcomeRecord::None
         };
         Some(Release {
             attempt,
@@ -128,6 +145,12 @@
         })
     }
 
+    /// Whether the store accepts the job's record with a failure on this machine. Otherwise the failure is
+    /// not recorded, and the task runs again all the same.
+    fn accepts_failure(&self, machine: MachineId, id: JobId, job: &Job) -> bool {
+        self.accepts_job_record(id, job, |edit| edit.record.record_failure_on(machine))
+    }
+
     /// Opens the records that a release writes. If the end of the job does not fit into the same
     /// transaction it is written later, see [`TransactionBuilder::end_done`].
     fn reserve_release(&mut self, release: &Release<'_>) -> ReleaseExtent {
@@ -143,16 +166,29 @@
             }),
             conditions: &conditions,
         };
-        let more_changes = if writes_job && release.outcome == AssignmentOutcome::Done {
-            self.completion_changes(release.job, release.attempt)
-        } else {
-            0
+        if !writes_job || release.outcome != AssignmentOutcome::Done {
+            return if self.reserve(required(0)) {
+                ReleaseExtent::All
+            } else {
+                ReleaseExtent::None
+            };
+        }
+        let completion = self.completion(release.job, release.attempt);
+        let may_write_record = |transaction: &Self| {
+            let TaskId { job: id, index } = release.attempt.task;
+            transaction
+                .accepts_job_record(id, release.job, |edit| edit.complete(index, release.job))
         };
-        if self.reserve(required(more_changes)) {
+        // The end of the job removes its record.
+        if (completion.ends_job || may_write_record(self))
+            && self.reserve(required(completion.changes()))
+        {
             ReleaseExtent::All
-        } else if more_changes >= 2
+        } else if completion.ends_job
+            && completion.opens_chunk
             && self.compact_encoding
-            && self.reserve(required(more_changes - 1))
+            && may_write_record(self)
+            && self.reserve(required(completion.changes() - 1))
         {
             ReleaseExtent::AllButJobEnd
         } else {
@@ -192,9 +228,8 @@
         ends
     }
 
-    /// Changes that a completion takes in addition to those of its machine group, its team's usage and
-    /// its job's record: one for another chunk, and one for the end of the job.
-    fn completion_changes(&self, job: &Job, attempt: Attempt) -> usize {
+    /// What a completion changes in addition to its machine group, its team's usage and its job's record.
+    fn completion(&self, job: &Job, attempt: Attempt) -> Completion {
         let id = attempt.task.job;
         let edit = self.jobs.get(&id);
         let chunk = attempt.task.index / TASKS_PER_CHUNK;
@@ -206,8 +241,10 @@
             },
             |edit| edit.record.finished_count(),
         );
-        let ends_job = completed + 1 >= job.spec().task_count;
-        usize::from(opens_chunk) + usize::from(ends_job)
+        Completion {
+            opens_chunk,
+            ends_job: completed + 1 >= job.spec().task_count,
+        }
     }
 
     fn complete_in_usage(&mut self, release: &Release<'_>) {
--- a/src/coordination/commit/transaction/required_records.rs
+++ b/src/coordination/commit/transaction/required_records.rs
@@ -6,6 +6,7 @@
 use crate::storage::cell_state::Job;
 use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
 use crate::storage::ids::{JobId, ShardId};
+use crate::storage::job::{JobRecord, JobSpec};
 use crate::storage::records::{GroupRecord, Key};
 
 /// A job whose record an edit requires.
@@ -199,14 +200,52 @@
         if self.jobs.contains_key(&id) {
             return;
         }
+        let edit = self.job_edit(id, job);
+        for usage in self.usage.values_mut() {
+            usage.record.finished_tasks.remove(&id);
+        }
+        self.jobs.insert(id, edit);
+    }
+
+    /// An edit of a job's record, with the completions that usage records keep for the job. If the store
+    /// might not accept the record, it loses the dependencies of a job that does not wait for them any
+    /// more.
+    fn job_edit(&self, id: JobId, job: &Job) -> JobEdit {
         let mut record = job.record.clone();
         record.finished.merge(&job.recorded_finished_tasks);
-        for edit in self.usage.values_mut() {
-            if let Some(ends) = edit.record.finished_tasks.remove(&id) {
-                record.finished.merge(&ends);
+        for usage in self.usage.values() {
+            if let Some(ends) = usage.record.finished_tasks.get(&id) {
+                record.finished.merge(ends);
             }
         }
-        self.jobs.insert(id, JobEdit::new(record));
+        let mut max_bytes = max_job_record_bytes(&record);
+        if max_bytes > self.limits.stored_value_bytes && job.is_ready() {
+            record.drop_dependencies();
+            max_bytes = max_job_record_bytes(&record);
+        }
+        JobEdit::new(record, max_bytes)
+    }
+
+    /// Whether the store accepts a job's record after this change of it. A record may be too large if it
+    /// was written under larger limits.
+    pub(super) fn accepts_job_record(
+        &self,
+        id: JobId,
+        job: &Job,
+        change: impl FnOnce(&mut JobEdit),
+    ) -> bool {
+        let limit = self.limits.stored_value_bytes;
+        let mut edit = match self.jobs.get(&id) {
+            Some(edit) if edit.max_bytes <= limit => return true,
+            Some(edit) => edit.clone(),
+            None => self.job_edit(id, job),
+        };
+        if edit.max_bytes <= limit {
+            return true;
+        }
+        change(&mut edit);
+        let record = edit.record.with_compact_encoding(self.compact_encoding);
+        size_of(&record) <= limit
     }
 
     /// Lets a group grow by this many bytes if that leaves `spare` bytes free; false otherwise.
@@ -227,13 +266,20 @@
     }
 }
 
-/// Upper bound of the bytes that the edit of a job takes. The bitmaps may be full already; each of
-/// their bytes is written as two hexadecimal digits.
+/// Upper bound of the bytes that the edit of a job takes, with a further chunk of its bitmap.
 fn max_job_edit_bytes(job: &Job) -> usize {
+    let chunk_bytes = job.spec().extra_chunks().min(1) as usize * max_bitmap_bytes(job.spec());
+    max_job_record_bytes(&job.record) + chunk_bytes
+}
+
+/// Upper bound of the bytes that a job's record takes after an edit. The bitmap may be full then.
+fn max_job_record_bytes(record: &JobRecord) -> usize {
     const OVERHEAD_BYTES: usize = 512;
-    const BITMAP_OVERHEAD_BYTES: usize = 16;
-    let bitmap_bytes =
-        job.spec().task_count.min(TASKS_PER_CHUNK) as usize / 4 + BITMAP_OVERHEAD_BYTES;
-    let bitmaps = 1 + job.spec().extra_chunks().min(1) as usize;
-    size_of(&job.record) + OVERHEAD_BYTES + bitmap_bytes * bitmaps
+    size_of(record) + OVERHEAD_BYTES + max_bitmap_bytes(&record.spec)
+}
+
+/// Upper bound of the bytes of one chunk's bitmap; each of its bytes is written as two hexadecimal digits.
+fn max_bitmap_bytes(spec: &JobSpec) -> usize {
+    const OVERHEAD_BYTES: usize = 16;
+    spec.task_count.min(TASKS_PER_CHUNK) as usize / 4 + OVERHEAD_BYTES
 }
--- a/src/storage/cell_state/jobs.rs
+++ b/src/storage/cell_state/jobs.rs
@@ -39,8 +39,16 @@
             return;
         };
         let is_newly_cancelled = record.value.cancelled && !job.record.cancelled;
-        job.record = record.value;
+        let former = std::mem::replace(&mut job.record, record.value);
         job.mod_revision = record.mod_revision;
+        if job.record.spec.dependencies != former.spec.dependencies {
+            self.dependencies.on_dependencies_dropped(
+                id,
+                &former.spec.dependencies,
+                &mut self.jobs,
+                &mut changes_seen.jobs,
+            );
+        }
         if is_newly_cancelled {
             self.dependencies
                 .on_job_cancelled(id, &mut self.jobs, &mut changes_seen.jobs);
--- a/src/storage/dependency_graph/mod.rs
+++ b/src/storage/dependency_graph/mod.rs
@@ -107,6 +107,24 @@
         self.propagation(jobs, changed).recompute_states(affected);
     }
 
+    /// Updates a job whose record has lost its dependencies because it does not wait for them any more, see
+    /// [`JobRecord::drop_dependencies`](crate::storage::job::JobRecord::drop_dependencies). Appends the jobs whose
+    /// states changed to `changed`.
+    pub fn on_dependencies_dropped(
+        &mut self,
+        id: JobId,
+        former: &[JobId],
+        jobs: &mut HashMap<JobId, Job>,
+        changed: &mut Vec<JobId>,
+    ) {
+        self.remove_dependencies(id, former);
+        let mut propagation = self.propagation(jobs, changed);
+        for dependency in former {
+            propagation.recompute_urgency(*dependency);
+        }
+        propagation.recompute_states(vec![id]);
+    }
+
     /// Removes a job that has ended and is no longer in `jobs`. Appends the jobs whose states changed to `changed`.
     /// Returns how the job ended, with `time_of_day` as the time of the end, if that is known.
     pub fn on_job_ended(
@@ -118,7 +136,7 @@
         changed: &mut Vec<JobId>,
     ) -> Option<FinalRecord> {
         let end = derive_end(job, time_of_day);
-        self.remove_dependencies(id, job);
+        self.remove_dependencies(id, &job.spec().dependencies);
         let mut propagation = self.propagation(jobs, changed);
         for dependency in &job.spec().dependencies {
             // The dependency may have been urgent only because of the removed job.
@@ -157,8 +175,8 @@
         }
     }
 
-    fn remove_dependencies(&mut self, id: JobId, job: &Job) {
-        for dependency in &job.spec().dependencies {
+    fn remove_dependencies(&mut self, id: JobId, dependencies: &[JobId]) {
+        for dependency in dependencies {
             let Some(dependents) = self.dependents.get_mut(dependency) else {
                 continue;
             };
--- a/src/storage/job.rs
+++ b/src/storage/job.rs
@@ -198,6 +198,12 @@
         self
     }
 
+    /// Drops the jobs that the job depends on, to make the record smaller. Only for a job that does not wait for them
+    /// any more: they are known to be done, or the job itself is cancelled.
+    pub fn drop_dependencies(&mut self) {
+        self.spec.dependencies = Vec::new();
+    }
+
     /// Largest number of machines that are recorded as having failed a task of the job.
     const MAX_FAILED_MACHINES: usize = 6;
 
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -276,7 +276,7 @@
         "params": {"teams": teams, "objectives": [{"kind": "wait", "class": "urgent", "within_s": 2, "share": 0.9}],
             "workers": {"report_s": s.report_interval_s, "lease_s": s.lease_s, "cancel_s": s.cancel_s},
             "state": {"rps": s.state_rates.0, "write_rps": s.state_rates.1, "value_kb": s.value_kb, "txn_ops": 12,
-                "next": s.next_limits.map(|(rate, size, ops)| json!({"write_rps": rate, "value_kb": size, "txn_ops": ops}))},
+                "next": s.next_limits.filter(|_| s.limits_announced).map(|(rate, size, ops)| json!({"write_rps": rate, "value_kb": size, "txn_ops": ops}))},
             "cloud": {"rps": 10, "list_lag_s": s.list_lag_s},
             "quota": {"core_share": 0.1, "ram_mb": 40, "max_connections": 600}, "clock_error_ms": 200},
     });
@@ -367,6 +367,13 @@
         w
     }
 
+    /// Controllers that start from now on get settings after the script as it stands now.
+    fn renew_settings(&mut self) {
+        self.settings = (0..self.script.nodes)
+            .map(|n| settings(&self.script, n))
+            .collect();
+    }
+
     fn schedule(&mut self, at: u64, event: SimEvent) {
         self.last_id += 1;
         self.queue.push(Reverse((at.max(self.now), self.last_id)));
@@ -1101,11 +1108,13 @@
             Step::ChangeTeam { name, cores, limit } => {
                 self.script.teams.retain(|t| t.0 != name);
                 self.script.teams.push((name, cores, limit));
-                self.settings = (0..self.script.nodes)
-                    .map(|n| settings(&self.script, n))
-                    .collect();
+                self.renew_settings();
                 self.nodes_with_old_settings = (0..self.script.nodes).collect();
             }
+            Step::AnnounceNextLimits => {
+                self.script.limits_announced = true;
+                self.renew_settings();
+            }
             Step::ApplyNextLimits => {
                 let (rate, size, ops) = self.script.next_limits.expect("next limits");
                 self.state.lower_limits(rate, (size * 1024.0) as usize, ops);
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -179,7 +179,9 @@
     FailAllTasks {
         machine: u64,
     },
-    /// The announced next limits of the state service take effect.
+    /// The settings of controllers that start from now on announce the next limits of the state service.
+    AnnounceNextLimits,
+    /// The next limits of the state service take effect.
     ApplyNextLimits,
     /// A controller stops and restarts with this version or the previous one.
     ChangeVersion {
@@ -330,6 +332,8 @@
     pub state_rates: (f64, f64),
     /// Announced limits of the state service: changes per second, KiB per value, changes per transaction.
     pub next_limits: Option<(f64, f64, usize)>,
+    /// Whether the settings announce the next limits.
+    pub limits_announced: bool,
     /// All controllers start with the previous version.
     pub starts_on_previous_version: bool,
     /// Records that exist before the run: a file in `tests/production`.
@@ -443,7 +447,10 @@
             Step::Crash { down, .. } | Step::FailZone { down, .. } => *down,
             Step::ChangeVersion { down, .. } | Step::ChangeRules { down, .. } => *down,
             Step::ReclaimMachines { notice, .. } => *notice,
-            Step::FailAllTasks { .. } | Step::ApplyNextLimits | Step::ChangeTeam { .. } => 0,
+            Step::FailAllTasks { .. }
+            | Step::AnnounceNextLimits
+            | Step::ApplyNextLimits
+            | Step::ChangeTeam { .. } => 0,
             Step::Submit { .. } | Step::Cancel { .. } | Step::Query { .. } => return None,
         })
     }
@@ -474,6 +481,7 @@
             shards: None,
             state_rates: (120.0, 60.0),
             next_limits: None,
+            limits_announced: true,
             starts_on_previous_version: false,
             records_file: None,
             chaos: 0,
@@ -708,6 +716,7 @@
                 let stride = w.optional("stride", parse_count)?.unwrap_or(1);
                 let (step, words) = step(&mut w)?;
                 positional_count = words;
+                self.limits_announced &= !matches!(step, Step::AnnounceNextLimits);
                 for i in 0..times {
                     let mut step = step.clone();
                     match &mut step {
@@ -972,6 +981,7 @@
             };
             (step, 4)
         }
+        "announce" => (Step::AnnounceNextLimits, 3),
         "limits" => (Step::ApplyNextLimits, 3),
         "upgrade" | "downgrade" => {
             let down = w.required("for", micros)?;
--- a/tests/runner/users.rs
+++ b/tests/runner/users.rs
@@ -25,16 +25,28 @@
         let machine_types: Option<Vec<String>> = fields
             .get("builds")
             .map(|b| b.split(',').map(str::to_owned).collect());
-        let dependencies: Option<Vec<String>> = fields
-            .get("awaits")
-            .map(|a| a.split(',').map(str::to_owned).collect());
-        let number = |name: &String| {
+        let number = |name: &str| -> u64 {
             name.strip_prefix("req-")
                 .and_then(|n| n.parse().ok())
                 .expect("a job")
         };
+        // Jobs, or ranges of them: `req-000001,req-000005..req-000009`.
+        let range = |part: &str| {
+            let (first, last) = part.split_once("..").unwrap_or((part, part));
+            number(first)..=number(last)
+        };
+        let dependencies: Option<Vec<String>> = fields.get("awaits").map(|jobs| {
+            jobs.split(',')
+                .flat_map(range)
+                .map(|job| format!("req-{job:06}"))
+                .collect()
+        });
         let request = JobRequest {
-            dependencies: dependencies.iter().flatten().map(number).collect(),
+            dependencies: dependencies
+                .iter()
+                .flatten()
+                .map(|name| number(name))
+                .collect(),
             team: text("team", "free"),
             job_class: text("lane", "lane"),
             cores: real("cores", 1.0),
