Cancellations fit the limits of the store

What callers saw: after the limits had fallen, a job with a record from before the announcement (300 awaited jobs) could not be cancelled: 503 from every controller, again and again, while its tasks ran on.

Cause: a cancellation writes the whole record, and the store refuses it for its size for ever.

Evidence: scenario cancelled-beyond-lower-limits on the code before: of three jobs to be cancelled, one waiting, one after it and one running, none is.

Fix: a record that is too large loses what the job awaited. A cancelled job does not wait any more; its own flag says that it is cancelled, and what depends on it follows from the flag.

Test: the scenario fails before and passes now, within cancel_s less a second.

--- a/src/coordination/api/cancellations.rs
+++ b/src/coordination/api/cancellations.rs
@@ -6,7 +6,7 @@
     CallError, KeyChange, StateRequest, StateResponse, Transaction, encode,
 };
 use crate::protocol::user::{JobStatus, JobStatusResponse, UserResponse};
-use crate::storage::cell_state::{CellChanges, Change, Content};
+use crate::storage::cell_state::{CellChanges, Change, Content, Job};
 use crate::storage::ids::JobId;
 use crate::storage::job::JobRecord;
 use crate::storage::records::Key;
@@ -46,25 +46,35 @@
         let Some(job) = self.cell.jobs.get(&request.job) else {
             return self.await_read(request);
         };
-        let record = JobRecord {
-            cancelled: true,
-            ..job
-                .record
-                .clone()
-                .with_compact_encoding(self.cell.uses_compact_encoding())
-        };
         let key = Key::Job(request.job);
         let txn = Transaction {
             conditions: vec![(key.clone(), job.mod_revision)],
             changes: vec![KeyChange {
                 key,
-                value: encode(&record),
+                value: encode(&self.cancelled_record(job)),
                 lease_id: None,
             }],
         };
         self.send_state_request(Purpose::Cancel(request), StateRequest::Transaction(txn));
     }
 
+    /// The record of a job, marked as cancelled. A record that the state store would not accept, since it was written under
+    /// larger limits, loses the dependencies: a cancelled job does not wait for them any more.
+    fn cancelled_record(&self, job: &Job) -> JobRecord {
+        let mut record = JobRecord {
+            cancelled: true,
+            ..job
+                .record
+                .clone()
+                .with_compact_encoding(self.cell.uses_compact_encoding())
+        };
+        let bytes = encode(&record).map_or(0, |value| value.get().len());
+        if bytes > self.limits.stored_value_bytes() {
+            record.drop_dependencies();
+        }
+        record
+    }
+
     pub(in crate::coordination) fn on_cancellation_result(
         &mut self,
         request: PendingRequest,
@@ -101,10 +111,7 @@
             return 0;
         };
         let done = job.finished_count();
-        let record = JobRecord {
-            cancelled: true,
-            ..job.record.clone()
-        };
+        let record = self.cancelled_record(job);
         let change = Change {
             key: Key::Job(id),
             content: Some(Content::Job(Box::new(record))),
