Idle machines of types with quick boots do not end the controllers

Cause: the time for which an idle machine is kept is clamped between 2 s and twice the nominal boot time. Ord::clamp asserts that its bounds are in order, in every build.

Fix: twice the nominal time bounds the estimate, then the shortest idle time applies.

--- a/src/coordination/autoscaler/scale_in.rs
+++ b/src/coordination/autoscaler/scale_in.rs
@@ -185,8 +185,8 @@
         None
     }
 
-    /// How long a machine is kept without tasks: as long as the boot of a replacement would take, but an expensive machine only
-    /// for a short time. A release never saves less than the shortest charge.
+    /// How long a machine is kept without tasks: as long as the boot of a replacement would take, up to twice the nominal boot
+    /// time, but an expensive machine only for a short time. A release never saves less than the shortest charge.
     fn idle_limit(&self, machine_type: &str, spot: bool) -> Micros {
         let types = self.cell.machine_types();
         let cheapest = types
@@ -198,7 +198,8 @@
             Some(t) if core_price(t, spot) > cheapest * 3 / 2 => EXPENSIVE_IDLE_LIMIT,
             Some(t) => self
                 .expected_boot_time(machine_type)
-                .clamp(MIN_IDLE_LIMIT, t.boot_time * 2),
+                .min(t.boot_time * 2)
+                .max(MIN_IDLE_LIMIT),
         };
         self.operator_settings
             .idle_s
