Amounts of the catalogue are bounded where they come in

With a price of 1e12 an hour, builds with overflow checks panic; in the release build the price for each core wraps.

Cause: amounts of submissions and of the deploy file are bounded, those of the catalogue were not, and core_price multiplies by a million.

Fix: an amount of a machine type counts as at most 1e9 of its unit, the bound of the other two.

The scenario runner sets all amounts of a type, and parameters of the deploy file.

--- a/crates/emulator/src/fakes/cloud.rs
+++ b/crates/emulator/src/fakes/cloud.rs
@@ -16,6 +16,12 @@
     pub cores: f64,
     /// Memory in GB.
     pub memory_gb: f64,
+    /// Accelerators.
+    pub accelerators: f64,
+    /// Size of the image cache in GB.
+    pub cache_gb: f64,
+    /// Rate at which images are fetched, in GB per second.
+    pub fetch_gb_per_s: f64,
     /// Nominal boot time in seconds.
     pub boot_s: f64,
     /// Price per hour.
@@ -124,8 +130,8 @@
                     .types
                     .iter()
                     .map(|t| {
-                        json!({"name": t.name, "cores": t.cores, "accelerators": 0, "memGb": t.memory_gb, "localGb": 50,
-                            "fetchGbPerS": 1.0, "rate": t.price, "spotPrice": t.spot_price, "startupS": t.boot_s,
+                        json!({"name": t.name, "cores": t.cores, "accelerators": t.accelerators, "memGb": t.memory_gb,
+                            "localGb": t.cache_gb, "fetchGbPerS": t.fetch_gb_per_s, "rate": t.price, "spotPrice": t.spot_price, "startupS": t.boot_s,
                             "yards": t.zones})
                     })
                     .collect();
@@ -236,7 +242,7 @@
                 1.0
             };
             let boot = self.types[type_index].boot_s * (0.6 + 0.9 * random_fraction()) * factor;
-            let up_at = (!stuck).then_some(now + (boot * 1e6) as u64);
+            let up_at = (!stuck).then_some(now.saturating_add((boot * 1e6) as u64));
             let provisioned_while_partitioned = is_affected(&self.partitioned_zones, &zone, now);
             let zone = zone.clone();
             let host = Host {
--- a/crates/emulator/src/region.rs
+++ b/crates/emulator/src/region.rs
@@ -23,6 +23,10 @@
 pub const MACHINE_CORES: f64 = 16.0;
 /// Memory of a machine in GB.
 const MACHINE_MEMORY_GB: f64 = 64.0;
+/// Image cache of a machine in GB.
+const MACHINE_CACHE_GB: f64 = 50.0;
+/// Rate at which a machine fetches images, in GB per second.
+const MACHINE_FETCH_GB_PER_S: f64 = 1.0;
 /// The only type of machine.
 pub const MACHINE_TYPE: &str = "standard";
 /// Machines that the cloud has for each wanted worker.
@@ -102,6 +106,9 @@
             name: MACHINE_TYPE.to_owned(),
             cores: MACHINE_CORES,
             memory_gb: MACHINE_MEMORY_GB,
+            accelerators: 0.0,
+            cache_gb: MACHINE_CACHE_GB,
+            fetch_gb_per_s: MACHINE_FETCH_GB_PER_S,
             boot_s: scenario.cloud.boot_s,
             price: 1.0,
             spot_price: 0.9,
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -11,6 +11,9 @@
 pub const PROVISION_LIMIT: u32 = 50;
 /// Largest number of machines in one release request.
 pub const RELEASE_LIMIT: usize = 100;
+/// Largest amount of a machine type, in the unit of the field; larger ones count as this. Sums and products of amounts
+/// stay within their integers then.
+const AMOUNT_LIMIT: f64 = 1e9;
 /// Error text of the cloud for a provisioning request of a machine type that has no capacity left in the zone.
 const NO_CAPACITY_ERROR: &str = "no capacity";
 
@@ -234,18 +237,19 @@
 
 impl From<MachineTypeWire> for MachineType {
     fn from(wire: MachineTypeWire) -> MachineType {
+        let amount = |amount: f64| thousandths_rounded_down(amount.min(AMOUNT_LIMIT));
         MachineType {
             name: wire.name,
             capacity: Amount {
-                cores: thousandths_rounded_down(wire.cores),
-                accelerators: thousandths_rounded_down(wire.accelerators),
-                memory: thousandths_rounded_down(wire.memory_gb),
+                cores: amount(wire.cores),
+                accelerators: amount(wire.accelerators),
+                memory: amount(wire.memory_gb),
             },
-            cache_size: thousandths_rounded_down(wire.cache_gb),
-            fetch_rate: thousandths_rounded_down(wire.fetch_gb_per_s),
-            price: thousandths_rounded_down(wire.price),
-            spot_price: thousandths_rounded_down(wire.spot_price.unwrap_or(wire.price)),
-            boot_time: Micros::from_secs_f64(wire.boot_s),
+            cache_size: amount(wire.cache_gb),
+            fetch_rate: amount(wire.fetch_gb_per_s),
+            price: amount(wire.price),
+            spot_price: amount(wire.spot_price.unwrap_or(wire.price)),
+            boot_time: Micros::from_secs_f64(wire.boot_s.min(AMOUNT_LIMIT)),
             zones: wire.zones,
         }
     }
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -269,7 +269,7 @@
         .map(|(name, g, m)| json!({"name": name, "cpus": g, "cpus_max": m, "gpus": 0, "gpus_max": 0}))
         .chain(s.teams.iter().all(|t| t.0 != "free").then(|| json!({"name": "free"})))
         .collect();
-    let file = json!({
+    let mut file = json!({
         "node": format!("n{n}"), "zone": zone_of(s, n), "bind": format!("10.0.0.{}:80", n + 1),
         "back": format!("10.0.0.{}:81", n + 1), "others": others,
         "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"},
@@ -280,6 +280,17 @@
             "cloud": {"rps": 10, "list_lag_s": s.list_lag_s},
             "quota": {"core_share": 0.1, "ram_mb": 40, "max_connections": 600}, "clock_error_ms": 200},
     });
+    for (path, value) in &s.parameters {
+        let parameter = file
+            .pointer_mut(&format!("/params/{path}"))
+            .expect("a parameter of the deploy file");
+        // Counts have no decimals.
+        *parameter = if value.fract() == 0.0 {
+            json!(*value as u64)
+        } else {
+            json!(value)
+        };
+    }
     Arc::new(Settings::parse("scenario", file.to_string().as_bytes()).expect("settings"))
 }
 
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -332,6 +332,8 @@
     pub state_rates: (f64, f64),
     /// Announced limits of the state service: changes per second, KiB per value, changes per transaction.
     pub next_limits: Option<(f64, f64, usize)>,
+    /// Values of parameters in the deploy file, each with its path, which replace those that follow from the rest.
+    pub parameters: Vec<(String, f64)>,
     /// Whether the settings announce the next limits.
     pub limits_announced: bool,
     /// All controllers start with the previous version.
@@ -481,6 +483,7 @@
             shards: None,
             state_rates: (120.0, 60.0),
             next_limits: None,
+            parameters: Vec::new(),
             limits_announced: true,
             starts_on_previous_version: false,
             records_file: None,
@@ -569,6 +572,12 @@
             "records" => self.records_file = Some(w.positional(1, |t| Some(t.to_owned()))?),
             "chaos" => self.chaos = w.positional(1, parse_count)? as u32,
             "load" => self.load = w.positional(1, parse_count)? as u32,
+            "setting" => {
+                let path = w.positional(1, |t| Some(t.replace('.', "/")))?;
+                let value = w.positional(2, |t| t.parse().ok())?;
+                self.parameters.push((path, value));
+                positional_count = 3;
+            }
             "team" => {
                 let name = w.positional(1, |t| Some(t.to_owned()))?;
                 let guarantee = w.optional("cores", parse_amount)?.unwrap_or(0.0);
@@ -580,6 +589,9 @@
                     name: w.positional(1, |t| Some(t.to_owned()))?,
                     cores: w.required("cores", parse_amount)?,
                     memory_gb: w.required("mem", parse_amount)?,
+                    accelerators: w.optional("accelerators", parse_amount)?.unwrap_or(0.0),
+                    cache_gb: w.optional("cache", parse_amount)?.unwrap_or(50.0),
+                    fetch_gb_per_s: w.optional("fetch", parse_amount)?.unwrap_or(1.0),
                     boot_s: w.required("boot", parse_amount)?,
                     price: w.required("price", parse_amount)?,
                     spot_price: w.required("spot_price", parse_amount)?,
