A cloud that accepts less than one request a second provisions machines

What callers saw: with cloud.rps below 1 no machine was ever provisioned, and accepted jobs stayed `queued`.

Cause: the number of provision requests made at a time is the rate as an integer, 0 below one.

Test: jobs_run_whatever_amounts_the_deploy_file_has, with rates, sizes and shares of the deploy file at the ends of their ranges, fails before for cloud.rps 0.5 and passes now. The fake cloud limits no rates, so refusals are not part of it.

--- a/src/coordination/autoscaler/provisioning.rs
+++ b/src/coordination/autoscaler/provisioning.rs
@@ -131,15 +131,15 @@
     }
 
     /// Creates the requests for these machines, limited to what the fleet record has room for and to the number of requests that
-    /// the cloud accepts in a second. A request must not be forgotten before its outcome is known, so no more are created while
-    /// the record is full of them.
+    /// the cloud accepts in a second, at least one. A request must not be forgotten before its outcome is known, so no more are
+    /// created while the record is full of them.
     fn new_provision_requests(
         &mut self,
         record: &FleetRecord,
         wanted: Vec<OfferCount>,
     ) -> Vec<ProvisionRecord> {
         let max_bytes = self.limits.value_bytes() / 8 * 7;
-        let max_requests = self.settings.cloud_rps as usize;
+        let max_requests = self.settings.cloud_rps.max(1.0) as usize;
         let mut bytes = encode(record).map_or(usize::MAX, |r| r.get().len());
         let mut requests = Vec::new();
         for (offer, mut count) in wanted {
--- a/tests/amounts.rs
+++ b/tests/amounts.rs
@@ -96,3 +96,31 @@
     }
     assert_all_pass(&cases);
 }
+
+/// Guards against a panic of every controller, and against jobs that never run, for an amount of the deploy file.
+#[test]
+fn jobs_run_whatever_amounts_the_deploy_file_has() {
+    let least = "0.000000001";
+    let most = "1000000000";
+    let cases: Vec<(String, String)> = [
+        ("cloud.rps", vec!["0.5", "0.9", most]),
+        ("cloud.list_lag_s", vec![least, "1", "100", most]),
+        ("state.rps", vec!["20", most]),
+        ("state.write_rps", vec!["3", "5.5", most]),
+        ("state.value_kb", vec!["2", "1000000"]),
+        ("state.txn_ops", vec!["4", "1000", "1000000000000"]),
+        ("quota.core_share", vec![least, most]),
+        ("quota.ram_mb", vec![least, most]),
+        ("quota.max_connections", vec!["32", most]),
+        ("clock_error_ms", vec!["0", least, "10000", most]),
+    ]
+    .into_iter()
+    .flat_map(|(parameter, amounts)| {
+        amounts.into_iter().map(move |amount| {
+            let text = format!("end 200\nsetting {parameter} {amount}\n{ORDINARY_TYPE}{JOBS}");
+            (format!("{parameter}={amount}"), text)
+        })
+    })
+    .collect();
+    assert_all_pass(&cases);
+}
