A catalogue that does not fit into one value is recorded in parts

Cause: record_catalog dropped such a catalogue without a word, and without machine types no submission can be judged.

Fix: the machine types are recorded in as many parts as they need, c/types, c/types/1 and so on, in one transaction; the replica joins them. A catalogue that no transaction can hold is logged at error. Records of catalogues that fit are as before; the version in production ignores the further keys.

Golden records have a line more, for the new kind of key.

--- a/src/coordination/autoscaler/catalog.rs
+++ b/src/coordination/autoscaler/catalog.rs
@@ -4,8 +4,7 @@
 use crate::protocol::cloud::CloudReply;
 use crate::protocol::state::{CallError, StateResponse, encode};
 use crate::storage::catalog::Catalog;
-use crate::storage::cell_state::{CellChanges, Change, Content};
-use crate::storage::records::Key;
+use crate::storage::cell_state::{CellChanges, Change, Content, catalog_key};
 use crate::time::Micros;
 
 /// How often the catalog is read.
@@ -29,6 +28,28 @@
         })
 }
 
+/// Splits a catalog into parts, in its order, none of which takes more than `max_bytes`; at least one part. `None` if a
+/// single machine type takes more.
+fn split(catalog: Catalog, max_bytes: usize) -> Option<Vec<Catalog>> {
+    let bytes = |part: &Catalog| encode(part).map_or(usize::MAX, |value| value.get().len());
+    if bytes(&catalog) <= max_bytes {
+        return Some(vec![catalog]);
+    }
+    let mut parts = vec![Catalog::default()];
+    for machine_type in catalog.types {
+        let part = parts.last_mut()?;
+        part.types.push(machine_type);
+        if bytes(part) > max_bytes {
+            let types = part.types.pop().into_iter().collect();
+            parts.push(Catalog { types });
+        }
+    }
+    let fits = parts
+        .iter()
+        .all(|part| !part.types.is_empty() && bytes(part) <= max_bytes);
+    fits.then_some(parts)
+}
+
 impl Controller {
     /// Handles the result of reading the catalog.
     pub(super) fn on_catalog_read(&mut self, result: Result<CloudReply, CallError>) {
@@ -44,32 +65,49 @@
 
     fn record_catalog(&mut self, catalog: Catalog) {
         let recorded = self.cell.types.value.as_ref();
-        let is_known = recorded.is_some_and(|old| is_equivalent(old, &catalog));
-        let value = encode(&catalog);
-        let bytes = value.as_ref().map_or(0, |v| v.get().len());
-        if is_known || bytes > self.limits.value_bytes() {
+        if recorded.is_some_and(|old| is_equivalent(old, &catalog)) {
+            return;
+        }
+        let types = catalog.types.len();
+        let Some(parts) = split(catalog, self.limits.value_bytes()) else {
+            tracing::error!(types, "machine type too large for the state store");
+            return;
+        };
+        let surplus = parts.len() as u32..self.cell.catalog_parts();
+        let changes = parts.len() + surplus.len();
+        if changes > self.limits.max_changes() {
+            tracing::error!(types, changes, "catalog too large for the state store");
             return;
         }
-        let mod_revision = self.cell.types.mod_revision;
-        self.write_as_fleet_leader(Key::Types, mod_revision, value, Purpose::Catalog(catalog));
+        let written = (0..).zip(&parts);
+        let writes = written
+            .map(|(part, types)| (catalog_key(part), encode(types)))
+            .chain(surplus.map(|part| (catalog_key(part), None)))
+            .collect();
+        self.write_as_fleet_leader(writes, Purpose::Catalog(parts));
     }
 
     /// Handles the result of writing the catalog to the state store.
     pub(in crate::coordination) fn on_types_written(
         &mut self,
-        types: Catalog,
+        parts: Vec<Catalog>,
         result: Result<StateResponse, CallError>,
     ) {
         match result {
             Ok(StateResponse::Applied(mod_revision)) => {
-                let change = Change {
-                    key: Key::Types,
-                    content: Some(Content::Types(types)),
-                    mod_revision,
-                };
-                let mut changes = CellChanges::default();
-                self.cell.apply([change], &mut changes);
-                self.on_cell_changed(&changes);
+                let surplus = parts.len() as u32..self.cell.catalog_parts();
+                let written = (0..).zip(parts.into_iter().map(Some));
+                let changes: Vec<Change> = written
+                    .chain(surplus.map(|part| (part, None)))
+                    .map(|(part, types)| Change {
+                        key: catalog_key(part),
+                        content: types.map(Content::Types),
+                        mod_revision,
+                    })
+                    .collect();
+                let mut changes_seen = CellChanges::default();
+                self.cell.apply(changes, &mut changes_seen);
+                self.on_cell_changed(&changes_seen);
             }
             _ => {
                 self.autoscaler.catalog.next = self.now.monotonic + RETRY_INTERVAL;
--- a/src/coordination/autoscaler/fleet_record.rs
+++ b/src/coordination/autoscaler/fleet_record.rs
@@ -39,33 +39,38 @@
         };
         self.autoscaler.writing_fleet = true;
         let purpose = Purpose::Fleet(Box::new((record, new)));
-        self.write_as_fleet_leader(
-            Key::Fleet,
-            self.cell.fleet.mod_revision,
-            Some(value),
-            purpose,
-        );
+        self.write_as_fleet_leader(vec![(Key::Fleet, Some(value))], purpose);
     }
 
-    /// Writes a key on condition that it still has this revision and that this process still leads the fleet.
+    /// Writes keys, or removes those without a value, on condition that none of them has changed and that this process still
+    /// leads the fleet.
     pub(super) fn write_as_fleet_leader(
         &mut self,
-        key: Key,
-        mod_revision: u64,
-        value: Option<Box<RawValue>>,
+        writes: Vec<(Key, Option<Box<RawValue>>)>,
         purpose: Purpose,
     ) {
-        let leader = Key::ShardLeader(FLEET_SHARD);
-        let leader_revision = self.cell.mod_revision(&leader);
-        let txn = Transaction {
-            conditions: vec![(leader, leader_revision), (key.clone(), mod_revision)],
-            changes: vec![KeyChange {
+        let written = writes.iter().map(|(key, _)| key.clone());
+        let conditions = [Key::ShardLeader(FLEET_SHARD)]
+            .into_iter()
+            .chain(written)
+            .map(|key| {
+                let mod_revision = self.cell.mod_revision(&key);
+                (key, mod_revision)
+            })
+            .collect();
+        let changes = writes
+            .into_iter()
+            .map(|(key, value)| KeyChange {
                 key,
                 value,
                 lease_id: None,
-            }],
+            })
+            .collect::<Vec<_>>();
+        self.budget.charge(self.now.monotonic, changes.len());
+        let txn = Transaction {
+            conditions,
+            changes,
         };
-        self.budget.charge(self.now.monotonic, 1);
         self.send_state_request(purpose, StateRequest::Transaction(txn));
     }
 
--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -41,8 +41,8 @@
     DependencyLookup(JobId),
     /// A commit round.
     Round(Box<commit::InFlightRound>),
-    /// A write of the machine types.
-    Catalog(Catalog),
+    /// A write of the machine types, in these parts.
+    Catalog(Vec<Catalog>),
     /// A write of a rule set.
     Rules,
     /// A write of the fleet record, with the provision requests that it adds.
@@ -126,7 +126,7 @@
             Purpose::DependencyLookup(job) => self.on_dependency_lookup(job, result),
             Purpose::Round(round) => self.on_round_result(*round, result),
             Purpose::Rules => self.on_rules_written(),
-            Purpose::Catalog(types) => self.on_types_written(types, result),
+            Purpose::Catalog(parts) => self.on_types_written(parts, result),
             Purpose::Fleet(record) => self.on_fleet_written(*record, result),
             Purpose::Cloud(_) | Purpose::PushCommand(_) | Purpose::Probe => {}
         }
--- a/src/protocol/state/response.rs
+++ b/src/protocol/state/response.rs
@@ -228,7 +228,7 @@
 pub fn decode(key: &Key, value: &RawValue) -> Option<Content> {
     Some(match key {
         Key::Meta => Content::Meta(record(value)?),
-        Key::Types => Content::Types(record(value)?),
+        Key::Types | Key::TypesPart(_) => Content::Types(record(value)?),
         Key::Fleet => Content::Fleet(record(value)?),
         Key::Node(_) => Content::Node(record(value)?),
         Key::ShardLeader(_) => Content::ShardLeader(record(value)?),
--- a/src/storage/cell_state/changes.rs
+++ b/src/storage/cell_state/changes.rs
@@ -146,6 +146,9 @@
             (Key::Types, Content::Types(catalog)) => {
                 self.put_catalog(catalog, mod_revision, changes_seen);
             }
+            (Key::TypesPart(part), Content::Types(catalog)) => {
+                self.put_catalog_part(part, catalog, mod_revision, changes_seen);
+            }
             (Key::Fleet, Content::Fleet(fleet)) => {
                 self.fleet = Versioned::new(fleet, mod_revision);
             }
@@ -182,9 +185,10 @@
         }
     }
 
-    /// Removes a record. The number of shards, the machine types and the fleet record are never removed.
+    /// Removes a record. The number of shards, the first machine types and the fleet record are never removed.
     fn remove(&mut self, key: Key, changes_seen: &mut CellChanges) {
         match key {
+            Key::TypesPart(part) => self.remove_catalog_part(part, changes_seen),
             Key::Rules(digest) => {
                 self.rules.remove(&digest);
                 changes_seen.rules = true;
@@ -210,13 +214,6 @@
         self.ensure_shard(last_shard);
     }
 
-    fn put_catalog(&mut self, catalog: Catalog, mod_revision: u64, changes_seen: &mut CellChanges) {
-        self.classes.set_catalog(&catalog);
-        self.types = Versioned::new(Some(catalog), mod_revision);
-        changes_seen.usage = true;
-        changes_seen.rules = true;
-    }
-
     fn set_leader(
         &mut self,
         shard: ShardId,
--- a/src/storage/cell_state/mod.rs
+++ b/src/storage/cell_state/mod.rs
@@ -11,6 +11,7 @@
 //! - `queries`: queries of the replica.
 
 mod assignments;
+mod catalog;
 pub mod changes;
 mod groups;
 mod jobs;
@@ -28,6 +29,7 @@
 use crate::time::Micros;
 use assignments::AssignmentIndex;
 pub use assignments::Place;
+pub use catalog::catalog_key;
 pub use changes::{CellChanges, Change, Content, EndedJob};
 use cometlead_constraints::RuleSet;
 use groups::MachineLocations;
@@ -46,8 +48,10 @@
     pub latest: u64,
     /// Number of shards, and the teams' shards.
     pub meta: Versioned<Option<MetaRecord>>,
-    /// Machine types.
+    /// Machine types of all parts. The revision is the latest of any part.
     pub types: Versioned<Option<Catalog>>,
+    /// The parts in which the machine types are recorded, by number.
+    type_parts: BTreeMap<u32, Versioned<Catalog>>,
     /// Machines being provisioned and decommissioned.
     pub fleet: Versioned<FleetRecord>,
     /// Live controllers, by name.
--- a/src/storage/cell_state/queries.rs
+++ b/src/storage/cell_state/queries.rs
@@ -1,8 +1,8 @@
 //! Queries of the replica.
 
+use super::catalog::FIRST_CATALOG_PART;
 use super::groups::shard_of;
 use super::{CellState, Job, Place};
-use crate::storage::catalog::MachineType;
 use crate::storage::ids::{GroupIndex, JobId, MachineId, ShardId, TaskId};
 use crate::storage::job::JobSpec;
 use crate::storage::records::{INITIAL_FORMAT, Key, MachineHealth, MachineRecord, RecordFormat};
@@ -75,7 +75,8 @@
     pub fn mod_revision(&self, key: &Key) -> u64 {
         match key {
             Key::Meta => Some(self.meta.mod_revision),
-            Key::Types => Some(self.types.mod_revision),
+            Key::Types => self.catalog_part_revision(FIRST_CATALOG_PART),
+            Key::TypesPart(part) => self.catalog_part_revision(*part),
             Key::Fleet => Some(self.fleet.mod_revision),
             Key::Node(name) => self.nodes.get(name).map(|node| node.mod_revision),
             Key::ShardLeader(shard) => self.leaders.get(*shard).map(|leader| leader.mod_revision),
@@ -162,16 +163,6 @@
             .map(|(machine, record)| (*machine, record))
     }
 
-    /// All machine types that are known.
-    pub fn machine_types(&self) -> impl Iterator<Item = &MachineType> {
-        self.types.value.iter().flat_map(|catalog| &catalog.types)
-    }
-
-    /// The machine type of this name.
-    pub fn machine_type(&self, name: &str) -> Option<&MachineType> {
-        self.types.value.as_ref()?.get(name)
-    }
-
     /// Free resources of a machine. Preempted tasks are not counted, since their resources are already assigned to
     /// other tasks.
     pub fn free_resources(&self, record: &MachineRecord) -> Amount {
--- a/src/storage/records/key.rs
+++ b/src/storage/records/key.rs
@@ -16,8 +16,11 @@
 pub enum Key {
     /// Number of shards, and the shards of the teams that have one of their own.
     Meta,
-    /// Machine types.
+    /// Machine types; the first of them if they do not fit into one value.
     Types,
+    /// Further machine types, by the number of the part; the first of these has number 1. Earlier versions of the software
+    /// ignore it.
+    TypesPart(u32),
     /// Machines being provisioned and decommissioned.
     Fleet,
     /// A live controller, by name.
@@ -45,6 +48,7 @@
         match self {
             Key::Meta => write!(f, "{LIVE_PREFIX}meta"),
             Key::Types => write!(f, "{LIVE_PREFIX}types"),
+            Key::TypesPart(part) => write!(f, "{LIVE_PREFIX}types/{part}"),
             Key::Fleet => write!(f, "{LIVE_PREFIX}fleet"),
             Key::Node(name) => write!(f, "{LIVE_PREFIX}node/{name}"),
             Key::ShardLeader(shard) => write!(f, "{LIVE_PREFIX}own/{shard}"),
@@ -92,6 +96,7 @@
                 let (shard, group) = id.split_once('/')?;
                 Some(Key::Group(shard.parse().ok()?, group.parse().ok()?))
             }
+            "types" => id.parse().ok().filter(|part| *part > 0).map(Key::TypesPart),
             "usage" => id.parse().ok().map(Key::Usage),
             "rules" if id.len() == RULES_DIGEST_HEX_DIGITS => {
                 u64::from_str_radix(id, 16).ok().map(Key::Rules)
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -76,7 +76,7 @@
         assert_eq!(reencode(&key, text), text, "{name}");
         kinds.insert(std::mem::discriminant(&key));
     }
-    assert_eq!(kinds.len(), 10, "kinds of records");
+    assert_eq!(kinds.len(), 11, "kinds of records");
 }
 
 #[test]
--- a/tests/production.rs
+++ b/tests/production.rs
@@ -37,7 +37,7 @@
         Key::Chunk(..) => rewrite::<frozen::Finished>(text),
         Key::Final(_) => rewrite::<frozen::FinalRecord>(text),
         Key::Types => serde_json::from_str(text).ok(),
-        Key::Rules(_) => None,
+        Key::Rules(_) | Key::TypesPart(_) => None,
     }
 }
 
