Only records that are really too large lose their dependencies

Change: the record is made smaller when it is written, and only if its size with all edits is beyond the limit.

--- a/src/coordination/commit/transaction/edits.rs
+++ b/src/coordination/commit/transaction/edits.rs
@@ -109,6 +109,14 @@
         self.chunks.len() + 1 + usize::from(self.ended.is_some())
     }
 
+    /// Makes a record smaller that takes more than `max_bytes`: it loses the dependencies if the job does not
+    /// wait for them any more. `job`: the job as it was before the transaction.
+    pub fn fit(&mut self, job: &Job, max_bytes: usize) {
+        if self.max_bytes > max_bytes && job.is_ready() && size_of(&self.record) > max_bytes {
+            self.record.drop_dependencies();
+        }
+    }
+
     /// Marks a task as completed. `job`: the job as it was before the transaction.
     pub fn complete(&mut self, index: u32, job: &Job) {
         let chunk_index = index / TASKS_PER_CHUNK;
--- a/src/coordination/commit/transaction/limits/tests.rs
+++ b/src/coordination/commit/transaction/limits/tests.rs
@@ -15,6 +15,7 @@
 const VALUE_BYTES: usize = 16 * 1024;
 const LOWER_VALUE_BYTES: usize = 2 * 1024;
 const OVERSIZED: JobId = JobId(700_000);
+const FIRST_DEPENDENCY: u64 = 100_000;
 
 fn limits(changes: usize) -> TransactionLimits {
     TransactionLimits {
@@ -139,9 +140,8 @@
     assert!(alone.end_cancelled(CANCELLED), "the chunk is not removed");
 }
 
-/// A replica in which a task of this job is assigned to a machine. Its record is larger than [`LOWER_VALUE_BYTES`].
-fn replica_with_oversized_job(job: JobRecord) -> CellState {
-    assert!(size_of(&job) > LOWER_VALUE_BYTES, "{} bytes", size_of(&job));
+/// A replica in which a task of this job is assigned to a machine.
+fn replica_with_job(job: JobRecord) -> CellState {
     let mut cell = replica_of(COMPACT_FORMAT);
     let mut record = machine();
     record.tasks.push(Assignment::of(attempt(OVERSIZED.0)));
@@ -153,6 +153,35 @@
     cell
 }
 
+/// The same; the job's record is larger than [`LOWER_VALUE_BYTES`].
+fn replica_with_oversized_job(job: JobRecord) -> CellState {
+    let bytes = size_of(&job);
+    assert!(bytes > LOWER_VALUE_BYTES, "{bytes} bytes");
+    replica_with_job(job)
+}
+
+/// A job with dependencies on this many other jobs.
+fn dependent_job(dependencies: u64) -> JobRecord {
+    let mut job = one_task_job();
+    job.spec.dependencies = (FIRST_DEPENDENCY..FIRST_DEPENDENCY + dependencies)
+        .map(JobId)
+        .collect();
+    job
+}
+
+/// The jobs that the job depends on are done.
+fn end_dependencies(cell: &mut CellState) {
+    let done = FinalRecord {
+        cancelled: false,
+        done: 1,
+        ended_at: Micros::secs(1),
+    };
+    for dependency in cell.jobs[&OVERSIZED].spec().dependencies.clone() {
+        cell.on_end_learned(dependency, done, &mut CellChanges::default());
+    }
+    assert!(cell.jobs[&OVERSIZED].is_ready());
+}
+
 fn release(cell: &CellState, outcome: AssignmentOutcome) -> PlannedTransaction {
     let lower_limits = TransactionLimits {
         value_bytes: LOWER_VALUE_BYTES,
@@ -193,20 +222,21 @@
 /// Guards against a job whose failures are never recorded under lower limits because of the jobs that it had to wait for.
 #[test]
 fn record_that_cannot_be_written_loses_the_dependencies_of_a_job_that_is_ready() {
-    let mut job = one_task_job();
-    job.spec.dependencies = (100_000..100_400).map(JobId).collect();
-    let mut cell = replica_with_oversized_job(job);
-    let done = FinalRecord {
-        cancelled: false,
-        done: 1,
-        ended_at: Micros::secs(1),
-    };
-    for id in 100_000..100_400 {
-        cell.on_end_learned(JobId(id), done, &mut CellChanges::default());
-    }
-    assert!(cell.jobs[&OVERSIZED].is_ready());
+    let mut cell = replica_with_oversized_job(dependent_job(400));
+    end_dependencies(&mut cell);
     let planned = release(&cell, AssignmentOutcome::Failed);
     apply(&mut cell, planned, 1_000_001);
     let job = &cell.jobs[&OVERSIZED];
     assert!(job.record.failures == 1 && job.is_ready());
 }
+
+/// Guards against the loss of what a job waited for, and so of the time since which it is ready, where the record fits as it is.
+#[test]
+fn record_that_fits_keeps_the_dependencies_of_a_job_that_is_ready() {
+    let mut cell = replica_with_job(dependent_job(240));
+    end_dependencies(&mut cell);
+    let planned = release(&cell, AssignmentOutcome::Failed);
+    apply(&mut cell, planned, 1_000_001);
+    let record = &cell.jobs[&OVERSIZED].record;
+    assert_eq!((record.failures, record.spec.dependencies.len()), (1, 240));
+}
--- a/src/coordination/commit/transaction/output.rs
+++ b/src/coordination/commit/transaction/output.rs
@@ -52,8 +52,11 @@
         );
     }
 
-    fn put_job(&mut self, id: JobId, mut edit: JobEdit, compact_encoding: bool) {
+    fn put_job(&mut self, id: JobId, mut edit: JobEdit, compact_encoding: bool, max_bytes: usize) {
         edit.record.finished.set_compact_encoding(compact_encoding);
+        if let Some(job) = self.cell.jobs.get(&id) {
+            edit.fit(job, max_bytes);
+        }
         for (index, mut chunk) in edit.chunks {
             chunk.set_compact_encoding(compact_encoding);
             let key = Key::Chunk(id, index);
@@ -137,7 +140,8 @@
             output.put(Key::Chunk(id, index), None);
         }
         for (id, edit) in self.jobs {
-            output.put_job(id, edit, self.compact_encoding);
+            let max_bytes = self.limits.stored_value_bytes;
+            output.put_job(id, edit, self.compact_encoding, max_bytes);
         }
         output.finish()
     }
--- a/src/coordination/commit/transaction/required_records.rs
+++ b/src/coordination/commit/transaction/required_records.rs
@@ -207,9 +207,7 @@
         self.jobs.insert(id, edit);
     }
 
-    /// An edit of a job's record, with the completions that usage records keep for the job. If the store
-    /// might not accept the record, it loses the dependencies of a job that does not wait for them any
-    /// more.
+    /// An edit of a job's record, with the completions that usage records keep for the job.
     fn job_edit(&self, id: JobId, job: &Job) -> JobEdit {
         let mut record = job.record.clone();
         record.finished.merge(&job.recorded_finished_tasks);
@@ -218,16 +216,12 @@
                 record.finished.merge(ends);
             }
         }
-        let mut max_bytes = max_job_record_bytes(&record);
-        if max_bytes > self.limits.stored_value_bytes && job.is_ready() {
-            record.drop_dependencies();
-            max_bytes = max_job_record_bytes(&record);
-        }
+        let max_bytes = max_job_record_bytes(&record);
         JobEdit::new(record, max_bytes)
     }
 
     /// Whether the store accepts a job's record after this change of it. A record may be too large if it
-    /// was written under larger limits.
+    /// was written under larger limits; see [`JobEdit::fit`] for how it is made smaller.
     pub(super) fn accepts_job_record(
         &self,
         id: JobId,
@@ -244,8 +238,11 @@
             return true;
         }
         change(&mut edit);
-        let record = edit.record.with_compact_encoding(self.compact_encoding);
-        size_of(&record) <= limit
+        edit.record
+            .finished
+            .set_compact_encoding(self.compact_encoding);
+        edit.fit(job, limit);
+        size_of(&edit.record) <= limit
     }
 
     /// Lets a group grow by this many bytes if that leaves `spare` bytes free; false otherwise.
