--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -1,7 +1,14 @@
 //! Scenario files: one statement per line. A line that cannot be parsed is an error with its line number.
 
+mod expectation;
+mod step;
+mod words;
+
 pub use cometlead_emulator::fakes::cloud::TypeSpec;
+use expectation::expectation;
 use std::collections::BTreeMap;
+use step::step;
+use words::{StatementWords, micros, parse_amount, parse_count, parse_text};
 
 /// A party that a fault can affect.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -356,77 +363,6 @@
     pub expects: Vec<Expect>,
 }
 
-fn micros(text: &str) -> Option<u64> {
-    let s: f64 = text.parse().ok()?;
-    (s >= 0.0).then_some((s * 1e6) as u64)
-}
-
-fn job(text: &str) -> Option<u64> {
-    text.strip_prefix("req-")?.parse().ok()
-}
-
-struct StatementWords<'a> {
-    positional: Vec<&'a str>,
-    named: BTreeMap<&'a str, &'a str>,
-}
-
-impl<'a> StatementWords<'a> {
-    fn parse(line: &'a str) -> StatementWords<'a> {
-        let (named, positional): (Vec<&str>, Vec<&str>) =
-            line.split_whitespace().partition(|w| w.contains('='));
-        StatementWords {
-            positional,
-            named: named
-                .into_iter()
-                .filter_map(|w| w.split_once('='))
-                .collect(),
-        }
-    }
-
-    fn optional<T>(
-        &mut self,
-        key: &str,
-        parse: impl Fn(&str) -> Option<T>,
-    ) -> Result<Option<T>, String> {
-        match self.named.remove(key) {
-            None => Ok(None),
-            Some(v) => parse(v)
-                .map(Some)
-                .ok_or(format!("{key}={v} is not understood")),
-        }
-    }
-
-    fn required<T>(&mut self, key: &str, parse: impl Fn(&str) -> Option<T>) -> Result<T, String> {
-        self.optional(key, parse)?
-            .ok_or(format!("{key}= is missing"))
-    }
-
-    fn positional<T>(&self, at: usize, parse: impl Fn(&str) -> Option<T>) -> Result<T, String> {
-        let text = self
-            .positional
-            .get(at)
-            .ok_or("a word is missing".to_owned())?;
-        parse(text).ok_or(format!("{text} is not understood"))
-    }
-
-    fn finish(self, positional_count: usize) -> Result<(), String> {
-        match (
-            self.named.keys().next(),
-            self.positional.get(positional_count),
-        ) {
-            (Some(k), _) => Err(format!("unknown key {k}")),
-            (_, Some(w)) => Err(format!("{w} is one word too many")),
-            _ => Ok(()),
-        }
-    }
-}
-
-const JOB_FIELDS: [&str; 22] = [
-    "awaits", "rules", "pieces", "cores", "mem", "run", "guess", "team", "urgency", "due", "spot",
-    "builds", "yard", "one_zone", "apart", "image", "size", "shape", "fails", "lane", "bookmark",
-    "stash",
-];
-
 impl Step {
     /// How long the step's fault lasts; `None` if the step is no fault.
     fn span(&self) -> Option<u64> {
@@ -524,8 +460,6 @@
             }
         }
         let mut w = StatementWords::parse(line);
-        let parse_amount = |t: &str| t.parse::<f64>().ok().filter(|v| *v >= 0.0);
-        let parse_count = |t: &str| t.parse::<u64>().ok();
         let mut positional_count = 2;
         match *w.positional.first().ok_or("a word is missing")? {
             "seed" => self.seed = w.positional(1, parse_count)?,
@@ -539,7 +473,7 @@
             "report" => self.report_interval_s = w.positional(1, parse_amount)?,
             "cancel" => self.cancel_s = w.positional(1, parse_amount)?,
             "grace" => self.rules_grace_s = w.positional(1, parse_amount)?,
-            "with" => self.initial_rules = Some(w.positional(1, |t| Some(t.to_owned()))?),
+            "with" => self.initial_rules = Some(w.positional(1, parse_text)?),
             "lag" => self.list_lag_s = w.positional(1, parse_amount)?,
             "body_kb" => self.max_response_kb = w.positional(1, parse_amount)?,
             "value_kb" => self.value_kb = w.positional(1, parse_amount)?,
@@ -569,7 +503,7 @@
                 self.starts_on_previous_version = true;
                 positional_count = 1;
             }
-            "records" => self.records_file = Some(w.positional(1, |t| Some(t.to_owned()))?),
+            "records" => self.records_file = Some(w.positional(1, parse_text)?),
             "chaos" => self.chaos = w.positional(1, parse_count)? as u32,
             "load" => self.load = w.positional(1, parse_count)? as u32,
             "setting" => {
@@ -579,147 +513,16 @@
                 positional_count = 3;
             }
             "team" => {
-                let name = w.positional(1, |t| Some(t.to_owned()))?;
+                let name = w.positional(1, parse_text)?;
                 let guarantee = w.optional("cores", parse_amount)?.unwrap_or(0.0);
                 let limit = w.optional("most", parse_amount)?.unwrap_or(0.0);
                 self.teams.push((name, guarantee, limit));
             }
-            "type" => {
-                let t = TypeSpec {
-                    name: w.positional(1, |t| Some(t.to_owned()))?,
-                    cores: w.required("cores", parse_amount)?,
-                    memory_gb: w.required("mem", parse_amount)?,
-                    accelerators: w.optional("accelerators", parse_amount)?.unwrap_or(0.0),
-                    cache_gb: w.optional("cache", parse_amount)?.unwrap_or(50.0),
-                    fetch_gb_per_s: w.optional("fetch", parse_amount)?.unwrap_or(1.0),
-                    boot_s: w.required("boot", parse_amount)?,
-                    price: w.required("price", parse_amount)?,
-                    spot_price: w.required("spot_price", parse_amount)?,
-                    on_demand_per_zone: w.required("count", parse_count)? as u32,
-                    spot_per_zone: w.required("spot", parse_count)? as u32,
-                    stuck_boot_fraction: w.optional("stuck", parse_amount)?.unwrap_or(0.0),
-                    zones: w
-                        .optional("zones", |t| Some(t.split(',').map(str::to_owned).collect()))?
-                        .unwrap_or_else(|| vec!["a".to_owned()]),
-                };
-                self.types.push(t);
-            }
+            "type" => self.types.push(machine_type(&mut w)?),
             "expect" => {
-                positional_count = 3;
-                let e = match *w.positional.get(1).ok_or("a word is missing")? {
-                    "done" => Expect::Done(w.positional(2, job)?),
-                    "refused-at-most" => Expect::RefusedAtMost(w.positional(2, parse_count)?),
-                    "all-small" => Expect::ValuesWithinNextLimits,
-                    "layout" => Expect::RecordFormat(w.positional(2, parse_count)?),
-                    "follows" => Expect::StartsAfterDependenciesWithin(
-                        w.positional(2, job)?,
-                        w.required("within", micros)?,
-                    ),
-                    "before" => {
-                        positional_count = 4;
-                        Expect::StartsBefore(w.positional(2, job)?, w.positional(3, job)?)
-                    }
-                    "refused" => Expect::RefusedNaming(
-                        w.positional(2, job)?,
-                        w.required("naming", |t| Some(t.to_owned()))?,
-                    ),
-                    "reason" => Expect::ReasonNaming(
-                        w.positional(2, job)?,
-                        w.required("naming", |t| Some(t.to_owned()))?,
-                    ),
-                    "ran" => Expect::RanOn {
-                        job: w.positional(2, job)?,
-                        place: w.required("on", |t| Some(t.to_owned()))?,
-                        share: w.required("share", parse_amount)?,
-                    },
-                    "starts-by" => {
-                        Expect::StartsBy(w.positional(2, job)?, w.required("at", micros)?)
-                    }
-                    "starts-after" => {
-                        Expect::StartsAfter(w.positional(2, job)?, w.required("at", micros)?)
-                    }
-                    "clashes-at-least" => Expect::ConflictsAtLeast(w.positional(2, parse_count)?),
-                    "cancelled" => Expect::Cancelled(w.positional(2, job)?),
-                    "unknown" => Expect::NotAccepted(w.positional(2, job)?),
-                    "all-done" => Expect::AllDone,
-                    "clashes" => Expect::AnyConflict,
-                    "takeovers-at-most" => Expect::FailoversAtMost(w.positional(2, parse_count)?),
-                    "takeovers" => Expect::FailoversAtLeast(w.positional(2, parse_count)?),
-                    "lost-leases" => Expect::LostLeasesAtMost(w.positional(2, parse_count)?),
-                    "groups" => Expect::MachineGroupsAtLeast(w.positional(2, parse_count)?),
-                    "all-recorded" => Expect::AllMachinesRecorded,
-                    "throttled" => Expect::Throttled,
-                    "started" => Expect::StartedWithin {
-                        job_class: w.positional(2, |t| Some(t.to_owned()))?,
-                        within: w.required("within", micros)?,
-                        share: w.required("share", parse_amount)?,
-                    },
-                    "owners" => Expect::ShardLeadersAtLeast(w.positional(2, parse_count)? as usize),
-                    "returned-at-most" => Expect::ReleasedWhileCutOffAtMost(
-                        w.required("zone", |t| Some(t.to_owned()))?,
-                        w.positional(2, parse_count)?,
-                    ),
-                    "machines-at-least" => Expect::MachinesAtLeast(
-                        w.required("zone", |t| Some(t.to_owned()))?,
-                        w.positional(2, parse_count)?,
-                    ),
-                    "lost-with-zones" => {
-                        Expect::UnreachableWithZonesAtLeast(w.positional(2, parse_count)?)
-                    }
-                    "lost-with-zones-at-most" => {
-                        Expect::UnreachableWithZonesAtMost(w.positional(2, parse_count)?)
-                    }
-                    "hired-at-most" => Expect::ProvisionedWhileCutOffAtMost(
-                        w.required("zone", |t| Some(t.to_owned()))?,
-                        w.positional(2, parse_count)?,
-                    ),
-                    "absences" => Expect::StallsAtLeast(w.positional(2, parse_count)?),
-                    "silenced-at-most" => {
-                        Expect::ExpiredLeasesAtMost(w.positional(2, parse_count)?)
-                    }
-                    "unneeded-at-most" => {
-                        Expect::SurplusMachinesAtMost(w.positional(2, parse_count)?)
-                    }
-                    "served" => Expect::DoneWithin {
-                        name: w.positional(2, |t| Some(t.to_owned()))?,
-                        within: w.required("within", micros)?,
-                        share: w.required("share", parse_amount)?,
-                    },
-                    "starts-at-most" => Expect::StartsAtMost(
-                        w.positional(2, job)?,
-                        w.required("count", parse_count)?,
-                    ),
-                    "done-by" => Expect::DoneBy(w.positional(2, job)?, w.required("at", micros)?),
-                    "requests-at-most" => {
-                        Expect::StateRequestsAtMost(w.positional(2, parse_count)?)
-                    }
-                    "changes-at-most" => Expect::StateChangesAtMost(w.positional(2, parse_count)?),
-                    "polls-answered" => Expect::PollsAnswered(w.positional(2, parse_amount)?),
-                    "fair" => {
-                        positional_count = 2;
-                        Expect::Fair
-                    }
-                    "late-starts-at-most" => {
-                        Expect::StartsAfterCancellationAtMost(w.positional(2, parse_count)?)
-                    }
-                    "cancelled-at-least" => {
-                        Expect::CancelledAtLeast(w.positional(2, parse_count)? as usize)
-                    }
-                    "played" => {
-                        positional_count = 4;
-                        Expect::InjectedAtLeast(
-                            w.positional(2, |t| Some(t.to_owned()))?,
-                            w.positional(3, parse_count)?,
-                        )
-                    }
-                    "ghosts-at-most" => {
-                        Expect::LateMachineRecordsAtMost(w.positional(2, parse_count)?)
-                    }
-                    "margin" => Expect::CancelMarginAtLeast(w.positional(2, micros)?),
-                    "machines-at-most" => Expect::MachinesAtMost(w.positional(2, parse_count)?),
-                    other => return Err(format!("unknown expectation {other}")),
-                };
-                self.expects.push(e);
+                let (expected, words) = expectation(&mut w)?;
+                positional_count = words;
+                self.expects.push(expected);
             }
             "at" => {
                 let at = w.positional(1, micros)?;
@@ -751,279 +554,23 @@
     }
 }
 
-fn step(w: &mut StatementWords<'_>) -> Result<(Step, usize), String> {
-    let node = |t: &str| match Party::parse(t)? {
-        Party::Node(n) => Some(n),
-        _ => None,
-    };
-    let machine = |t: &str| match Party::parse(t)? {
-        Party::Machine(m) => Some(m),
-        _ => None,
-    };
-    let mode = |t: &str| {
-        Some(match t {
-            "drop" => Mode::Drop,
-            "hold" => Mode::Hold,
-            "repeat" => Mode::Repeat,
-            "slow" => Mode::Slow,
-            "late-commands" => Mode::LateCommands,
-            "deaf" => Mode::DropResponses,
-            "reset" => Mode::Reset,
-            _ => return None,
-        })
-    };
-    let share = |t: &str| t.parse::<f64>().ok().filter(|s| (0.0..=1.0).contains(s));
-    let parse_yes_no = |t: &str| match t {
-        "yes" => Some(true),
-        "no" => Some(false),
-        _ => None,
-    };
-    let kind = *w.positional.get(2).ok_or("a fault is missing")?;
-    Ok(match kind {
-        "submit" => {
-            let to = w.optional("node", node)?;
-            let mut fields = BTreeMap::new();
-            for f in JOB_FIELDS {
-                if let Some(v) = w.named.remove(f) {
-                    fields.insert(f.to_owned(), v.to_owned());
-                }
-            }
-            let job = w.positional(3, job)?;
-            (
-                Step::Submit {
-                    job,
-                    fields,
-                    node: to,
-                },
-                4,
-            )
-        }
-        "abort" => (
-            Step::Cancel {
-                job: w.positional(3, job)?,
-                node: w.optional("node", node)?,
-            },
-            4,
-        ),
-        "query" => (
-            Step::Query {
-                job: w.positional(3, job)?,
-                node: w.optional("node", node)?,
-            },
-            4,
-        ),
-        "crash" => {
-            let which = match w.positional(3, Party::parse)? {
-                Party::Node(n) => Some(n),
-                Party::Nodes => None,
-                other => return Err(format!("{other:?} cannot crash")),
-            };
-            (
-                Step::Crash {
-                    node: which,
-                    down: w.required("for", micros)?,
-                },
-                4,
-            )
-        }
-        "cut" => {
-            let step = Step::LinkFault {
-                a: w.positional(3, Party::parse)?,
-                b: w.positional(4, Party::parse)?,
-                mode: w.required("mode", mode)?,
-                span: w.required("for", micros)?,
-            };
-            (step, 5)
-        }
-        "die" => {
-            let zone = w.positional(3, |t| t.strip_prefix("zone-").map(str::to_owned))?;
-            (
-                Step::FailZone {
-                    zone,
-                    down: w.required("for", micros)?,
-                },
-                4,
-            )
-        }
-        "outage" => (
-            Step::Outage {
-                party: w.positional(3, Party::parse)?,
-                span: w.required("for", micros)?,
-            },
-            4,
-        ),
-        "refuse" => (
-            Step::Refuse {
-                node: w.positional(3, node)?,
-                span: w.required("for", micros)?,
-            },
-            4,
-        ),
-        "throttle" => (
-            Step::Throttle {
-                node: w.positional(3, node)?,
-                span: w.required("for", micros)?,
-            },
-            4,
-        ),
-        "late-writes" | "late-reports" => {
-            let share = w.required("share", share)?;
-            let span = w.required("for", micros)?;
-            let step = if kind == "late-writes" {
-                let of = w.optional("of", |t| Some(t.to_owned()))?;
-                Step::LateWrites {
-                    share,
-                    span,
-                    at_once: w.optional("at_once", parse_yes_no)?.unwrap_or(false),
-                    of,
-                }
-            } else {
-                let to = |t: &str| match t {
-                    "next" => Some(CopiesTo::Next),
-                    "all" => Some(CopiesTo::All),
-                    _ => None,
-                };
-                Step::DuplicateHeartbeats {
-                    share,
-                    span,
-                    to: w.optional("to", to)?.unwrap_or(CopiesTo::Same),
-                }
-            };
-            (step, 3)
-        }
-        "deaf" | "mute" => {
-            let count = w.optional("count", |t| t.parse().ok())?.unwrap_or(1);
-            let (machine, span) = (w.positional(3, machine)?, w.required("for", micros)?);
-            let drops_inbound = kind == "deaf";
-            (
-                if drops_inbound {
-                    Step::DropInbound {
-                        machine,
-                        count,
-                        span,
-                    }
-                } else {
-                    Step::DropHeartbeats {
-                        machine,
-                        count,
-                        span,
-                    }
-                },
-                4,
-            )
-        }
-        "cancel-now" => {
-            let count = w.required("count", |t| t.parse().ok())?;
-            (
-                Step::CancelNow {
-                    count,
-                    hang: w.optional("hang", micros)?.unwrap_or(0),
-                },
-                3,
-            )
-        }
-        "cancel-at-end" => (
-            Step::CancelAtEnd {
-                share: w.required("share", share)?,
-                span: w.required("for", micros)?,
-            },
-            3,
-        ),
-        "close-looks" => {
-            let aborts = w.optional("aborts", share)?.unwrap_or(0.0);
-            (
-                Step::QueryBursts {
-                    aborts,
-                    span: w.required("for", micros)?,
-                },
-                3,
-            )
-        }
-        "odd-requests" => (
-            Step::OddRequests {
-                span: w.required("for", micros)?,
-            },
-            3,
-        ),
-        "hang" => (
-            Step::Hang {
-                party: w.positional(3, Party::parse)?,
-                span: w.required("for", micros)?,
-            },
-            4,
-        ),
-        "take" => {
-            let notice = w.optional("notice", micros)?.unwrap_or(0);
-            let count = w.optional("count", |t| t.parse().ok())?.unwrap_or(1);
-            (
-                Step::ReclaimMachines {
-                    machine: w.positional(3, machine)?,
-                    count,
-                    notice,
-                },
-                4,
-            )
-        }
-        "boots" => {
-            let factor = w.required("factor", |t| t.parse::<f64>().ok().filter(|f| *f >= 0.0))?;
-            (
-                Step::ScaleBootTimes {
-                    factor,
-                    span: w.required("for", micros)?,
-                },
-                3,
-            )
-        }
-        "polls" => {
-            let parse_count = |t: &str| t.parse::<u64>().ok();
-            let step = Step::Polls {
-                job: w.positional(3, job)?,
-                count: w.optional("count", parse_count)?.unwrap_or(1),
-                rate: w.required("rate", |t| t.parse::<f64>().ok().filter(|r| *r > 0.0))?,
-                span: w.required("for", micros)?,
-            };
-            (step, 4)
-        }
-        "team" => {
-            let parse_amount = |t: &str| t.parse::<f64>().ok().filter(|v| *v >= 0.0);
-            let step = Step::ChangeTeam {
-                name: w.positional(3, |t| Some(t.to_owned()))?,
-                cores: w.optional("cores", parse_amount)?.unwrap_or(0.0),
-                limit: w.optional("most", parse_amount)?.unwrap_or(0.0),
-            };
-            (step, 4)
-        }
-        "announce" => (Step::AnnounceNextLimits, 3),
-        "limits" => (Step::ApplyNextLimits, 3),
-        "upgrade" | "downgrade" => {
-            let down = w.required("for", micros)?;
-            (
-                Step::ChangeVersion {
-                    node: w.positional(3, node)?,
-                    down,
-                    new: kind == "upgrade",
-                },
-                4,
-            )
-        }
-        "rules" => {
-            let name = w.positional(4, |t| Some(t.to_owned()))?;
-            let name = Some(name).filter(|n| n != "none");
-            (
-                Step::ChangeRules {
-                    node: w.positional(3, node)?,
-                    name,
-                    down: w.required("for", micros)?,
-                },
-                5,
-            )
-        }
-        "faulty" => (
-            Step::FailAllTasks {
-                machine: w.positional(3, machine)?,
-            },
-            4,
-        ),
-        other => return Err(format!("unknown fault {other}")),
+/// Reads a machine type.
+fn machine_type(w: &mut StatementWords<'_>) -> Result<TypeSpec, String> {
+    Ok(TypeSpec {
+        name: w.positional(1, parse_text)?,
+        cores: w.required("cores", parse_amount)?,
+        memory_gb: w.required("mem", parse_amount)?,
+        accelerators: w.optional("accelerators", parse_amount)?.unwrap_or(0.0),
+        cache_gb: w.optional("cache", parse_amount)?.unwrap_or(50.0),
+        fetch_gb_per_s: w.optional("fetch", parse_amount)?.unwrap_or(1.0),
+        boot_s: w.required("boot", parse_amount)?,
+        price: w.required("price", parse_amount)?,
+        spot_price: w.required("spot_price", parse_amount)?,
+        on_demand_per_zone: w.required("count", parse_count)? as u32,
+        spot_per_zone: w.required("spot", parse_count)? as u32,
+        stuck_boot_fraction: w.optional("stuck", parse_amount)?.unwrap_or(0.0),
+        zones: w
+            .optional("zones", |t| Some(t.split(',').map(str::to_owned).collect()))?
+            .unwrap_or_else(|| vec!["a".to_owned()]),
     })
 }
