The bound of a group's record has what other attempts grow by

Cause: the compact form has each attempt's number as its difference from the largest. A new largest number lengthens all others, and the upper bound for one more assignment counted its own bytes alone.

Fix: the bound has the growth of the others. Room is asked for before records are opened, so an assignment that does not fit leaves no conditions and no opened records behind.

Tests: size_upper_bound_holds_for_attempts_that_lengthen_the_numbers_of_others and assignment_that_does_not_fit_into_a_record_leaves_the_transaction_empty fail before and pass now.

--- a/src/coordination/commit/transaction/assignments.rs
+++ b/src/coordination/commit/transaction/assignments.rs
@@ -1,7 +1,7 @@
 //! Assignments in a transaction.
 
 use super::limits::SPARE_BYTES;
-use super::required_records::RequiredRecords;
+use super::required_records::{GroupGrowth, RequiredRecords};
 use super::{MachineAttempt, TransactionBuilder};
 use crate::storage::ids::{Attempt, MachineId};
 use crate::storage::job::JobSpec;
@@ -19,12 +19,17 @@
         let shard = cell.shard_of_job(id, spec);
         let required = RequiredRecords {
             groups: &[group],
+            growth: Some(GroupGrowth {
+                group,
+                bytes: GroupRecord::max_assignment_bytes(&attempt, &spec.image, spec.image_size),
+                spare: SPARE_BYTES,
+                attempt_number: attempt.number,
+            }),
             usage: Some(shard),
             conditions: &[Key::ShardLeader(shard), Key::Job(id), Key::Meta],
             ..RequiredRecords::default()
         };
-        let growth = GroupRecord::max_assignment_bytes(&attempt, &spec.image, spec.image_size);
-        if !self.reserve(required) || !self.grow(group, growth, SPARE_BYTES) {
+        if !self.reserve(required) {
             return false;
         }
         if !self.push_assignment(machine, attempt, spec) {
@@ -63,6 +68,7 @@
         let growth = GroupRecord::MAX_PREEMPTED_ENTRY_BYTES * victims.len();
         let assigns_all = tasks.iter().all(|attempt| copy.assign(machine, *attempt));
         if !assigns_all || !copy.grow(group, growth, SPARE_BYTES) {
+            self.groups_without_room.extend(copy.groups_without_room);
             return false;
         }
         let Some(record) = copy.machine_mut(machine) else {
@@ -86,6 +92,8 @@
             .all(|assignment| copy.assign(assignment.machine, assignment.attempt));
         if assigns_all {
             *self = copy;
+        } else {
+            self.groups_without_room.extend(copy.groups_without_room);
         }
         assigns_all
     }
--- a/src/coordination/commit/transaction/limits/tests.rs
+++ b/src/coordination/commit/transaction/limits/tests.rs
@@ -240,3 +240,26 @@
     let record = &cell.jobs[&OVERSIZED].record;
     assert_eq!((record.failures, record.spec.dependencies.len()), (1, 240));
 }
+
+/// Guards against rounds that write records unchanged, for ever, because an assignment did not fit into the record of a machine's group.
+#[test]
+fn assignment_that_does_not_fit_into_a_record_leaves_the_transaction_empty() {
+    let mut cell = replica_of(COMPACT_FORMAT);
+    let group = GroupRecord {
+        compact_encoding: true,
+        ..large_group(1)
+    };
+    let full = TransactionLimits {
+        value_bytes: size_of(&group),
+        ..limits(4)
+    };
+    insert(&mut cell, Key::Group(0, 0), Content::Group(group));
+    let job = Box::new(one_task_job());
+    insert(&mut cell, Key::Job(JobId(7)), Content::Job(job));
+    cell.advance(1_000_000);
+    let mut transaction = TransactionBuilder::new(&cell, full);
+    assert!(!transaction.assign(MachineId(1), attempt(7)));
+    assert!(transaction.is_empty());
+    assert_eq!(transaction.groups_without_room().len(), 1);
+    assert!(transaction.build().txn.conditions.is_empty());
+}
--- a/src/coordination/commit/transaction/mod.rs
+++ b/src/coordination/commit/transaction/mod.rs
@@ -28,7 +28,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A group of machines: its shard, and its index there.
-type GroupId = (ShardId, GroupIndex);
+pub type GroupId = (ShardId, GroupIndex);
 
 /// An attempt of a task, and the machine that it is assigned to.
 #[derive(Clone, Copy, Debug)]
@@ -63,6 +63,8 @@
     jobs: BTreeMap<JobId, JobEdit>,
     removed_chunks: BTreeSet<(JobId, u32)>,
     conditions: BTreeSet<Key>,
+    /// Groups whose records have no room for an assignment that was tried.
+    groups_without_room: BTreeSet<GroupId>,
     /// Upper bound of the bytes of all values.
     bytes: usize,
     /// Whether every controller reads the compact encoding of records.
@@ -97,6 +99,7 @@
             jobs: BTreeMap::new(),
             removed_chunks: BTreeSet::new(),
             conditions: BTreeSet::new(),
+            groups_without_room: BTreeSet::new(),
             bytes: 0,
             compact_encoding: cell.uses_compact_encoding(),
             usage_from_groups: cell.is_fenced(),
@@ -116,6 +119,12 @@
         records + jobs + usize::from(self.term_update.is_some())
     }
 
+    /// Groups whose records have no room for an assignment that was tried, although the machines may have room for
+    /// the task.
+    pub fn groups_without_room(&self) -> &BTreeSet<GroupId> {
+        &self.groups_without_room
+    }
+
     /// Number of changes that may still be added.
     pub fn changes_left(&self) -> usize {
         self.limits.changes.saturating_sub(self.changes())
--- a/src/coordination/commit/transaction/releases.rs
+++ b/src/coordination/commit/transaction/releases.rs
@@ -165,6 +165,7 @@
                 more_changes,
             }),
             conditions: &conditions,
+            ..RequiredRecords::default()
         };
         if !writes_job || release.outcome != AssignmentOutcome::Done {
             return if self.reserve(required(0)) {
--- a/src/coordination/commit/transaction/required_records.rs
+++ b/src/coordination/commit/transaction/required_records.rs
@@ -17,10 +17,22 @@
     pub more_changes: usize,
 }
 
+/// Bytes by which an edit lets a group grow, and bytes that must be free then.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct GroupGrowth {
+    pub group: GroupId,
+    pub bytes: usize,
+    pub spare: usize,
+    /// Number of the attempt that is added; the record's other attempts may take more bytes with it.
+    pub attempt_number: u64,
+}
+
 /// Records that an edit requires.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RequiredRecords<'a> {
     pub groups: &'a [GroupId],
+    /// How one of the groups grows.
+    pub growth: Option<GroupGrowth>,
     pub usage: Option<ShardId>,
     pub job: Option<RequiredJob>,
     pub conditions: &'a [Key],
@@ -62,12 +74,18 @@
     }
 
     fn has_record_larger_than(&self, max_bytes: usize) -> bool {
-        let is_larger = |bytes: usize| bytes > max_bytes;
-        self.groups.iter().any(|(_, edit)| is_larger(edit.bytes))
+        self.groups_larger_than(max_bytes).next().is_some()
             || self
                 .usage
                 .as_ref()
-                .is_some_and(|(_, edit)| is_larger(edit.record_bytes()))
+                .is_some_and(|(_, edit)| edit.record_bytes() > max_bytes)
+    }
+
+    fn groups_larger_than(&self, max_bytes: usize) -> impl Iterator<Item = GroupId> + '_ {
+        let groups = self.groups.iter();
+        groups
+            .filter(move |(_, edit)| edit.bytes > max_bytes)
+            .map(|(group, _)| *group)
     }
 }
 
@@ -82,14 +100,23 @@
         if !self.is_within_counts(changes_after, conditions_after) {
             return false;
         }
-        let opened = self.open_records(&missing);
+        let mut opened = self.open_records(&missing);
         if opened.has_record_larger_than(self.limits.stored_value_bytes) {
+            let too_large = opened.groups_larger_than(self.limits.stored_value_bytes);
+            self.groups_without_room.extend(too_large);
             return false;
         }
-        let bytes = self.bytes + opened.bytes() + missing.job_bytes;
+        let growth_bytes = required.growth.map_or(0, |growth| growth.bytes);
+        let bytes = self.bytes + opened.bytes() + missing.job_bytes + growth_bytes;
         if bytes > max_values_bytes(changes_after, conditions_after) {
             return false;
         }
+        if let Some(growth) = required.growth
+            && !self.grow_required(&mut opened, growth)
+        {
+            self.groups_without_room.insert(growth.group);
+            return false;
+        }
         self.bytes = bytes;
         self.groups.extend(opened.groups);
         self.usage.extend(opened.usage);
@@ -100,6 +127,24 @@
         true
     }
 
+    /// Lets a group grow that is open, or about to be; false if its record has no room.
+    fn grow_required(&mut self, opened: &mut OpenedRecords, growth: GroupGrowth) -> bool {
+        let opened = opened.groups.iter_mut();
+        let edit = opened
+            .filter(|(group, _)| *group == growth.group)
+            .map(|(_, edit)| edit)
+            .chain(self.groups.get_mut(&growth.group))
+            .next();
+        edit.is_some_and(|edit| {
+            let bytes = growth.bytes + edit.record.max_renumbering_bytes(growth.attempt_number);
+            let has_room = edit.ensure_capacity(bytes, growth.spare, self.compact_encoding);
+            if has_room {
+                edit.bytes += bytes;
+            }
+            has_room
+        })
+    }
+
     fn missing_records(&self, required: &RequiredRecords<'_>) -> MissingRecords {
         let groups: Vec<GroupId> = required
             .groups
@@ -252,9 +297,11 @@
         let Some(edit) = self.groups.get_mut(&group) else {
             return false;
         };
-        if !edit.ensure_capacity(growth, spare, self.compact_encoding)
-            || self.bytes + growth > max_bytes
-        {
+        if !edit.ensure_capacity(growth, spare, self.compact_encoding) {
+            self.groups_without_room.insert(group);
+            return false;
+        }
+        if self.bytes + growth > max_bytes {
             return false;
         }
         edit.bytes += growth;
--- a/src/storage/machine_group/mod.rs
+++ b/src/storage/machine_group/mod.rs
@@ -7,7 +7,7 @@
 mod encoding;
 
 use crate::storage::ids::{Attempt, JobId, MachineId, TaskId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -128,6 +128,32 @@
 
 /// Upper bounds and estimates of the size of the stored form, plain or compact.
 impl GroupRecord {
+    /// Upper bound of the bytes by which the attempts in the record grow when one with this number is added. The compact
+    /// form has the difference of each from the largest number.
+    pub fn max_renumbering_bytes(&self, number: u64) -> usize {
+        if !self.compact_encoding {
+            return 0;
+        }
+        let attempts = || {
+            let assignments = self
+                .machines
+                .values()
+                .flat_map(|record| record.tasks.iter().chain(&record.preempted));
+            assignments.map(|assignment| (assignment.job, assignment.attempt_number))
+        };
+        let largest = attempts().map(|(_, number)| number).max();
+        let Some(largest) = largest.filter(|largest| *largest < number) else {
+            return 0;
+        };
+        let distinct: BTreeSet<(JobId, u64)> = attempts().collect();
+        let growth: usize = distinct
+            .iter()
+            .map(|(_, attempt)| packed_bytes(number - attempt) - packed_bytes(largest - attempt))
+            .sum();
+        // Three bytes are written as four characters.
+        (growth * 4).div_ceil(3)
+    }
+
     /// Upper bound of the bytes that one more assignment adds.
     pub fn max_assignment_bytes(attempt: &Attempt, image: &str, size: u64) -> usize {
         const ATTEMPT_PUNCTUATION_BYTES: usize = 4;
@@ -194,6 +220,17 @@
     }
 }
 
+/// Bytes of a number in the compact form, before they are written as text.
+fn packed_bytes(number: u64) -> usize {
+    match number {
+        0..0x80 => 1,
+        0x80..0x100 => 2,
+        0x100..0x1_0000 => 3,
+        0x1_0000..0x1_0000_0000 => 5,
+        _ => 9,
+    }
+}
+
 /// Number of decimal digits of a number.
 fn digit_count(number: u64) -> usize {
     number.checked_ilog10().unwrap_or(0) as usize + 1
--- a/src/storage/machine_group/tests.rs
+++ b/src/storage/machine_group/tests.rs
@@ -130,3 +130,30 @@
     }
     assert!(stored_bytes(&group) < 3_000);
 }
+
+/// Guards against a record that outgrows a value of the state store because one more attempt lengthens the numbers of all others: the store refuses
+/// it, and the same assignment is planned again for ever.
+#[test]
+fn size_upper_bound_holds_for_attempts_that_lengthen_the_numbers_of_others() {
+    let mut group = GroupRecord {
+        compact_encoding: true,
+        ..GroupRecord::default()
+    };
+    let mut record = machine("10.0.0.1:9000");
+    for job in 0..200 {
+        let added = attempt(100 + job, 0, 1_000 + job / 8);
+        record.tasks.push(Assignment::of(added));
+    }
+    group.machines.insert(MachineId(1), record);
+    for number in [1_025, 1_100, 1_152, 1_281, 66_000, 70_000, 1 << 33] {
+        let added = attempt(7, 0, number);
+        let bound = GroupRecord::max_assignment_bytes(&added, "img", IMAGE_SIZE)
+            + group.max_renumbering_bytes(number);
+        let mut larger = group.clone();
+        let record = larger.machines.get_mut(&MachineId(1)).unwrap();
+        record.tasks.push(Assignment::of(added));
+        record.record_image_use("img", IMAGE_SIZE, u64::MAX);
+        let growth = stored_bytes(&larger) - stored_bytes(&group);
+        assert!(growth <= bound, "{number}: {growth} bytes, bound {bound}");
+    }
+}
