Machines whose group's record is full are left out of plans

What callers saw: with some 200 small jobs on a machine of 64 cores and a limit of 2 KiB, further jobs waited as long as those ran, beside free cores, and no machine was provisioned for them.

Cause: plans place by cores and memory. A full record takes no further assignment, so the same claims were made and dropped in each round, and the autoscaler counted the free cores as room for what waits.

Fix: a group whose record had no room for an assignment is left out until the record changes; the autoscaler counts no room there. It looks only at records that have changed since its last check.

--- a/src/coordination/autoscaler/mod.rs
+++ b/src/coordination/autoscaler/mod.rs
@@ -14,6 +14,7 @@
 mod scale_in;
 
 use crate::coordination::Controller;
+use crate::coordination::commit::transaction::RecordRoom;
 use crate::protocol::cloud::{CloudMachine, CloudRequest};
 use crate::scheduler::boot_times::BootTimeEstimates;
 use crate::scheduler::provisioning::MachineOffer;
@@ -101,6 +102,8 @@
     releases: Releases,
     exhausted: ExhaustedOffers,
     provisions_in_flight: usize,
+    /// Machine groups whose records have room for assignments.
+    record_room: RecordRoom,
     writing_fleet: bool,
     /// Numbers the provision requests of this process.
     provision_counter: u64,
--- a/src/coordination/autoscaler/provisioning.rs
+++ b/src/coordination/autoscaler/provisioning.rs
@@ -5,6 +5,7 @@
 use crate::protocol::state::encode;
 use crate::scheduler::provisioning::{MachineOffer, MachinePools, plan};
 use crate::storage::catalog::Catalog;
+use crate::storage::ids::MachineId;
 use crate::storage::machine_classes::ClassId;
 use crate::storage::records::{FleetRecord, MachineRecord, ProvisionRecord};
 use crate::time::Micros;
@@ -18,6 +19,8 @@
 impl Controller {
     /// Plans which machines are missing, and records the requests for them. They are sent once the record is written.
     pub(super) fn provision_machines(&mut self) {
+        let limits = self.transaction_limits();
+        self.autoscaler.record_room.update(&self.cell, limits);
         let wanted = self.missing_machines();
         if wanted.is_empty() {
             return;
@@ -85,6 +88,9 @@
     fn add_machines_up<'a>(&'a self, pools: &mut MachinePools<'a>, catalog: &Catalog) {
         let has_rules = self.rules.active();
         for (machine, record) in self.cell.schedulable_machines() {
+            if !self.has_record_room(machine) {
+                continue;
+            }
             let class = has_rules
                 .then(|| self.cell.classes.class_of_machine(machine))
                 .flatten();
@@ -94,6 +100,12 @@
         }
     }
 
+    /// Whether tasks can be assigned to a machine as far as the size of its group's record goes.
+    fn has_record_room(&self, machine: MachineId) -> bool {
+        let group = self.cell.group_of_machine(machine);
+        group.is_none_or(|group| self.autoscaler.record_room.has_room(&self.cell, group))
+    }
+
     /// The core time that a machine's tasks are expected to need still, on the assumption that half of the estimated runtime has
     /// passed on average.
     fn remaining_work(&self, record: &MachineRecord) -> u128 {
--- a/src/coordination/commit/candidates.rs
+++ b/src/coordination/commit/candidates.rs
@@ -103,6 +103,7 @@
         transaction
             .machines()
             .filter(|(_, _, record)| record.health == MachineHealth::Schedulable)
+            .filter(|(group, ..)| !self.rounds.full_groups.contains(&self.cell, *group))
             .map(|(group, machine, record)| FreeMachine {
                 machine,
                 shard: group.0,
--- a/src/coordination/commit/mod.rs
+++ b/src/coordination/commit/mod.rs
@@ -7,6 +7,7 @@
 mod candidates;
 mod compaction_round;
 mod fair_shares;
+mod full_groups;
 mod gang_reservation;
 mod job_order;
 mod latest_start;
@@ -154,7 +155,7 @@
         None
     }
 
-    fn transaction_limits(&self) -> TransactionLimits {
+    pub(super) fn transaction_limits(&self) -> TransactionLimits {
         TransactionLimits {
             changes: self.limits.max_changes(),
             conditions: self.limits.max_conditions(),
--- a/src/coordination/commit/pending.rs
+++ b/src/coordination/commit/pending.rs
@@ -1,6 +1,7 @@
 //! Changes that wait to be committed, and when the next round may be planned.
 
 use super::RoundScope;
+use super::full_groups::FullGroups;
 use super::gang_reservation::GangReservations;
 use super::starvation::StarvationPrevention;
 use super::suspect_jobs::SuspectJobs;
@@ -69,6 +70,8 @@
     pub(super) gang_reservations: GangReservations,
     /// Own records that are larger than the next limits allow and are to be compacted.
     oversized: BTreeSet<Key>,
+    /// Groups whose records had no room for an assignment.
+    pub(super) full_groups: FullGroups,
 }
 
 /// Requests from other components.
--- a/src/coordination/commit/round.rs
+++ b/src/coordination/commit/round.rs
@@ -63,6 +63,12 @@
         if !assignments_first {
             assigned = self.assign(&mut transaction, RoundScope::All);
         }
+        let full = transaction.groups_without_room().clone();
+        if !full.is_empty() {
+            // Other machines are tried next, also if this round has nothing to write.
+            self.rounds.full_groups.add(&self.cell, &full);
+            self.rounds.request();
+        }
         if transaction.is_empty() {
             return None;
         }
--- a/src/coordination/commit/transaction/mod.rs
+++ b/src/coordination/commit/transaction/mod.rs
@@ -9,6 +9,7 @@
 #[cfg(test)]
 mod model;
 mod output;
+mod record_room;
 mod releases;
 mod required_records;
 mod resulting_state;
@@ -16,6 +17,7 @@
 mod tests;
 
 pub use limits::TransactionLimits;
+pub use record_room::RecordRoom;
 pub use resulting_state::TeamUsage;
 
 use crate::protocol::state::Transaction;
