Runner and emulator: late copies of requests that were answered

Cause: the runner's `repeat` leaves pushed commands out ("a request that was answered is over") and copies everything else within 8 s only; real processes had nothing like it.

Change: a disruption `late-copies` with a kind of request, a share, delays and a number of copies. Copies come after the answer, in any order with the others, whether or not their sender still runs. Kinds: commands, transactions, leases, cloud, hints, heartbeats, users. A copy of a command that starts an attempt is a violation. The runner has an expectation on the largest heartbeat.

--- a/crates/emulator/src/fakes/mod.rs
+++ b/crates/emulator/src/fakes/mod.rs
@@ -4,6 +4,7 @@
 //! in simulated time, the emulator over real connections.
 
 pub mod cloud;
+pub mod late_copies;
 pub mod state;
 pub mod submission;
 pub mod worker;
--- a/crates/emulator/src/http.rs
+++ b/crates/emulator/src/http.rs
@@ -207,7 +207,7 @@
 }
 
 /// A request that a fake server received.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct IncomingRequest {
     /// HTTP method.
     pub method: String,
--- a/crates/emulator/src/invariants.rs
+++ b/crates/emulator/src/invariants.rs
@@ -31,6 +31,8 @@
     NotDone,
     /// A job that had been reported as done or cancelled was later reported in another state.
     WentBack,
+    /// A copy of a command that a worker had carried out before started an attempt.
+    StartedByCopy,
     /// A controller sent a request that exceeds the limits of the state service.
     BeyondLimits,
 }
@@ -149,6 +151,18 @@
         }
     }
 
+    /// Records that a late copy of a command started an attempt.
+    pub fn attempt_started_by_copy(
+        &mut self,
+        now: u64,
+        machine: Machine,
+        task: Task,
+        attempt: u64,
+    ) {
+        let description = format!("{} attempt {attempt} on {machine:?}", task_name(task));
+        self.add_violation(now, Rule::StartedByCopy, description);
+    }
+
     fn task_started(&mut self, now: u64, machine: Machine, task: Task) {
         self.starts += 1;
         if let Some(other) = self
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod fit;
 pub mod http;
 pub mod invariants;
+pub mod late_copies;
 pub mod measure;
 pub mod region;
 pub mod report;
--- a/crates/emulator/src/region.rs
+++ b/crates/emulator/src/region.rs
@@ -6,6 +6,7 @@
 use crate::fakes::worker::{JobInfo, Worker};
 use crate::http::{Answer, IncomingRequest, Traffic, serve};
 use crate::invariants::InvariantChecker;
+use crate::late_copies::{CopiedRequest, CopyCounters};
 use crate::scenario::Scenario;
 use crate::workers::FakeWorker;
 use parking_lot::{Mutex, RwLock};
@@ -52,6 +53,8 @@
     pub started_at: Instant,
     /// Properties of the jobs' tasks, by job.
     pub jobs: RwLock<BTreeMap<u64, JobInfo>>,
+    /// Number of late copies that arrived.
+    pub copies: CopyCounters,
     /// The invariant checker.
     pub checker: Mutex<InvariantChecker>,
     /// Runtime of the fake workers.
@@ -223,6 +226,10 @@
         if is_txn {
             self.answer_watches();
         }
+        if is_txn || request.path.starts_with("/leases") {
+            let copy = || Arc::clone(&self).carry_out_state_copy(request.clone());
+            self.copy_later(CopiedRequest::State, copy);
+        }
         if is_lost {
             tokio::time::sleep(LOST_ANSWER_DELAY).await;
             return None;
@@ -235,6 +242,12 @@
         Some(answer)
     }
 
+    async fn carry_out_state_copy(self: Arc<Self>, request: IncomingRequest) {
+        let id = self.next_request.fetch_add(1, Ordering::Relaxed);
+        self.forward_to_state(id, &request);
+        self.answer_watches();
+    }
+
     /// Passes a request to the fake state service. The response to a watch arrives later, on the returned receiver.
     fn forward_to_state(
         &self,
@@ -264,6 +277,19 @@
 
     async fn cloud_request(self: Arc<Self>, request: IncomingRequest) -> Option<Answer> {
         tokio::time::sleep(CLOUD_LATENCY).await;
+        let answer = self.carry_out_cloud_request(&request);
+        if request.method == "POST" {
+            let copy = || Arc::clone(&self).carry_out_cloud_copy(request.clone());
+            self.copy_later(CopiedRequest::Cloud, copy);
+        }
+        Some(answer)
+    }
+
+    async fn carry_out_cloud_copy(self: Arc<Self>, request: IncomingRequest) {
+        self.carry_out_cloud_request(&request);
+    }
+
+    fn carry_out_cloud_request(self: &Arc<Self>, request: &IncomingRequest) -> Answer {
         let now = self.context.now();
         let (answer, provisioned) = {
             let mut cloud = self.cloud.lock();
@@ -285,7 +311,7 @@
         if request.path == "/hosts/release" {
             self.stop_released(now);
         }
-        Some(answer)
+        answer
     }
 
     /// Stops the workers of released machines before the response to the release is sent.
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -1,6 +1,7 @@
 //! Results of a run, as written to files and printed.
 
 use crate::invariants::{Rule, Violation};
+use crate::late_copies::CopiedRequest;
 use comfy_table::Table;
 use hdrhistogram::Histogram;
 use plotters::prelude::{ChartBuilder, IntoDrawingArea, LineSeries, SVGBackend};
@@ -160,6 +161,8 @@
     pub controllers: Vec<ControllerResult>,
     /// Results by region.
     pub regions: Vec<RegionResult>,
+    /// Late copies of requests that arrived during the whole run, by kind.
+    pub late_copies: BTreeMap<CopiedRequest, u64>,
     /// Number of violations of each rule.
     #[serde(rename = "broken")]
     pub violation_counts: BTreeMap<Rule, u64>,
@@ -275,6 +278,11 @@
             format!("{:.2}", self.max_timer_delay_s),
         );
         row("leases lost", String::new(), self.lost_leases.to_string());
+        row(
+            "late copies",
+            String::new(),
+            format!("{:?}", self.late_copies),
+        );
         row(
             "rules broken",
             "none".to_owned(),
--- a/crates/emulator/src/run.rs
+++ b/crates/emulator/src/run.rs
@@ -3,6 +3,7 @@
 use crate::addresses::{Addresses, NoFreePort};
 use crate::controllers::Controller;
 use crate::invariants::InvariantChecker;
+use crate::late_copies::CopyCounters;
 use crate::measure;
 use crate::region::{Region, RunContext};
 use crate::report::{RunResult, Sample};
@@ -150,6 +151,7 @@
         addresses: Addresses::find(scenario.seed ^ u64::from(std::process::id()))?,
         started_at: Instant::now(),
         jobs: Default::default(),
+        copies: CopyCounters::default(),
         checker: Mutex::new(InvariantChecker::new(
             cancel_limit_us,
             team_quotas(scenario),
--- a/crates/emulator/src/run/snapshot.rs
+++ b/crates/emulator/src/run/snapshot.rs
@@ -205,6 +205,7 @@
             max_timer_delay_s: self.max_timer_delay_us.load(Ordering::Relaxed) as f64 / 1e6,
             controllers: self.controller_results(before, after, duration_s),
             regions: self.region_results(before, after, duration_s),
+            late_copies: self.context.copies.snapshot(),
             violation_counts,
             violations,
             samples,
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -1,5 +1,6 @@
 //! Scenarios: what a scale run consists of. A scenario is a TOML file that is checked before anything starts.
 
+use crate::fakes::late_copies::CopySchedule;
 use serde::Deserialize;
 use std::path::Path;
 use thiserror::Error;
@@ -8,6 +9,8 @@
 pub const MAX_PROCESSES: usize = 60;
 /// Most memory that the processes of a run may use together, in MB.
 pub const MAX_MEMORY_MB: f64 = 12_000.0;
+/// Most copies of one request.
+const MAX_COPIES: u64 = 100;
 /// Number of regions that can be addressed.
 const MAX_REGIONS: usize = 32;
 
@@ -88,6 +91,9 @@
     pub cloud: CloudSpec,
     /// Resource limits of each controller, as written to its deploy file.
     pub controller: ControllerSpec,
+    /// Requests of all kinds but those between controllers arrive again after they were answered, during the whole run.
+    #[serde(default)]
+    pub late_copies: Option<CopySchedule>,
     /// Faults to inject during the measurement.
     #[serde(default, rename = "troubles")]
     pub faults: Vec<Fault>,
@@ -327,6 +333,7 @@
             "32 or more",
         )?;
         check_not_negative("controller.restart_s", self.controller.restart_s)?;
+        self.check_late_copies()?;
         self.check_faults()?;
         for step in &self.steps {
             require(
@@ -387,6 +394,25 @@
         check_fraction("load.cancelled", load.cancelled)
     }
 
+    fn check_late_copies(&self) -> Result<(), ScenarioError> {
+        let Some(copies) = &self.late_copies else {
+            return Ok(());
+        };
+        check_fraction("late_copies.share", copies.share)?;
+        check_positive("late_copies.min_delay_s", copies.min_delay_s)?;
+        check_positive("late_copies.max_delay_s", copies.max_delay_s)?;
+        require(
+            "late_copies.max_delay_s",
+            copies.max_delay_s >= copies.min_delay_s,
+            "at least min_delay_s",
+        )?;
+        require(
+            "late_copies.max_copies",
+            (1..=MAX_COPIES).contains(&copies.max_copies),
+            "1 to 100",
+        )
+    }
+
     fn check_faults(&self) -> Result<(), ScenarioError> {
         for fault in &self.faults {
             check_not_negative("troubles.at_s", fault.at_s)?;
--- a/crates/emulator/src/users.rs
+++ b/crates/emulator/src/users.rs
@@ -5,6 +5,7 @@
 use crate::fakes::worker::JobInfo;
 use crate::http::{Answer, Connection, NoAnswer, Traffic};
 use crate::invariants::ReportedState;
+use crate::late_copies::CopiedRequest;
 use crate::region::{MACHINE_CORES, Region};
 use bytes::Bytes;
 use hdrhistogram::Histogram;
@@ -247,6 +248,7 @@
                 .await;
             if let Ok(answer) = &answer {
                 self.record_answer(sent_at, answer);
+                self.copy_later(path, &body);
                 match answer.status {
                     200 | 201 => return true,
                     400 | 422 => return false,
@@ -263,6 +265,16 @@
         false
     }
 
+    /// Sends copies of a request that was answered to the same controller later.
+    fn copy_later(&self, path: &str, body: &Bytes) {
+        let Some(node) = self.connection.as_ref().map(|c| c.node) else {
+            return;
+        };
+        let region = &self.balancer.region;
+        let to = region.context.addresses.controller(region.index, node);
+        region.copy_post_later(CopiedRequest::User, to, path, body);
+    }
+
     async fn submit(&mut self, body: Bytes) -> bool {
         let user_stats = Arc::clone(&self.balancer.user_stats);
         let started_at = self.now();
--- a/crates/emulator/src/workers.rs
+++ b/crates/emulator/src/workers.rs
@@ -2,6 +2,7 @@
 
 use crate::fakes::worker::{NEXT_NODE_DELAY_US, REPORT_TIMEOUT_US, Redirect, TaskEvent, Worker};
 use crate::http::{Answer, Connection, IncomingRequest, NoAnswer, Traffic, serve};
+use crate::late_copies::CopiedRequest;
 use crate::region::Region;
 use bytes::Bytes;
 use parking_lot::Mutex;
@@ -15,6 +16,8 @@
 
 /// Interval at which a worker in a partitioned zone checks whether the partition is over.
 const PARTITION_RECHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Path of the reports.
+const REPORT_PATH: &str = "/v1/report";
 /// Shortest pause of a worker's loop, in microseconds.
 const MIN_PAUSE_US: u64 = 1_000;
 
@@ -169,20 +172,21 @@
 
     fn send(
         &self,
-        region: &Region,
+        region: &Arc<Region>,
         due: &DueReport,
         open: Option<Connection>,
     ) -> impl Future<Output = (Option<Connection>, Result<Answer, NoAnswer>)> + Send + use<> {
         let address = region.context.addresses.controller(region.index, due.node);
         let traffic = Arc::clone(&self.traffic);
         let body = Bytes::from(due.body.clone());
+        region.copy_post_later(CopiedRequest::Report, address, REPORT_PATH, &body);
         async move {
             let exchange = async {
                 let mut connection = match open {
                     Some(connection) => connection,
                     None => Connection::open(address, &traffic).await?,
                 };
-                let answer = connection.call("POST", "/v1/report", body).await?;
+                let answer = connection.call("POST", REPORT_PATH, body).await?;
                 Ok::<_, NoAnswer>((connection, answer))
             };
             match tokio::time::timeout(Duration::from_micros(REPORT_TIMEOUT_US), exchange).await {
@@ -254,11 +258,52 @@
         };
         self.record_events(&region, &events);
         self.wake.notify_one();
+        if answer.is_some() && request.method == "POST" {
+            let copy = || Arc::clone(&self).carry_out_command_copy(request.body.clone());
+            region.copy_later(CopiedRequest::Command, copy);
+        }
         let (status, body) = answer.unwrap_or((400, serde_json::json!({"error": "malformed"})));
         Some(Answer::new(status, &body))
     }
 }
 
+impl FakeWorker {
+    /// Carries out a copy of a command, which must start nothing.
+    async fn carry_out_command_copy(self: Arc<Self>, body: Bytes) {
+        let Some(region) = self.region.upgrade() else {
+            return;
+        };
+        let now = region.context.now();
+        let mut events = Vec::new();
+        let (answer, started) = {
+            let jobs = region.context.jobs.read();
+            let mut worker = self.worker.lock();
+            if self.stopped.load(Ordering::Relaxed) {
+                return;
+            }
+            let before: Vec<_> = worker.attempts.keys().copied().collect();
+            let answer = worker.handle_command(now, &body, &jobs, &mut events);
+            let started: Vec<_> = worker
+                .attempts
+                .keys()
+                .filter(|attempt| !before.contains(attempt))
+                .copied()
+                .collect();
+            (answer, started)
+        };
+        if answer.is_none_or(|(status, _)| status != 200) {
+            region.context.copies.count(CopiedRequest::RefusedCommand);
+        }
+        self.record_events(&region, &events);
+        self.wake.notify_one();
+        let machine = (region.index, self.machine);
+        let mut checker = region.context.checker.lock();
+        for (task, attempt) in started {
+            checker.attempt_started_by_copy(now, machine, task, attempt);
+        }
+    }
+}
+
 /// Waits for the response to a report; does not return if no report is being sent.
 async fn next_answer(
     exchange: &mut Option<(DueReport, ReportExchange)>,
--- a/crates/emulator/tests/invariants.rs
+++ b/crates/emulator/tests/invariants.rs
@@ -143,3 +143,10 @@
     checker.limit_exceeded(1, "too many changes");
     assert_eq!(count(&checker, Rule::BeyondLimits), 1);
 }
+
+#[test]
+fn attempt_started_by_a_late_copy_is_a_violation() {
+    let mut checker = new_checker();
+    checker.attempt_started_by_copy(1, FIRST_REGION_MACHINE, (1, 0), 7);
+    assert_eq!(count(&checker, Rule::StartedByCopy), 1);
+}
--- a/crates/emulator/tests/scenario.rs
+++ b/crates/emulator/tests/scenario.rs
@@ -93,6 +93,33 @@
     );
 }
 
+#[test]
+fn late_copies_must_have_a_share_delays_and_a_count() {
+    let valid = "share = 0.5\nmin_delay_s = 0.2\nmax_delay_s = 60\nmax_copies = 3\n";
+    let parse = |copies: &str| {
+        let text = format!("{}\n[late_copies]\n{copies}", smoke());
+        Scenario::parse("file.toml", &text)
+    };
+    assert!(parse(valid).is_ok());
+    for (from, to, named) in [
+        ("share = 0.5", "share = 1.5", "late_copies.share"),
+        (
+            "min_delay_s = 0.2",
+            "min_delay_s = 0",
+            "late_copies.min_delay_s",
+        ),
+        (
+            "max_delay_s = 60",
+            "max_delay_s = 0.1",
+            "at least min_delay_s",
+        ),
+        ("max_copies = 3", "max_copies = 0", "late_copies.max_copies"),
+    ] {
+        let error = parse(&valid.replace(from, to)).unwrap_err().to_string();
+        assert!(error.contains(named), "{to}: {error}");
+    }
+}
+
 #[test]
 fn each_step_is_a_run() {
     let step = "\n[[steps]]\nworkers = 300\ntasks_per_worker = 4\nstarts_per_s = 20\n";
--- a/tests/random_scenarios/mod.rs
+++ b/tests/random_scenarios/mod.rs
@@ -141,11 +141,49 @@
         };
     }
     text += "expect all-done\nexpect fair\n";
-    Script::parse(&text).unwrap_or_else(|e| panic!("{e}\n{text}"))
+    parse(&text)
 }
 
-/// A scenario in which two or three fault combinations of all kinds overlap.
-fn with_all_fault_combinations(seed: u64) -> Script {
+/// Parses the text of a generated scenario.
+fn parse(text: &str) -> Script {
+    Script::parse(text).unwrap_or_else(|e| panic!("{e}\n{text}"))
+}
+
+/// Scenarios with late copies have seeds above this one.
+const LATE_COPIES_SEEDS_FROM: u64 = 7_000;
+
+/// A scenario in which fault combinations of all kinds overlap, and requests of one kind or of all arrive again later.
+fn with_late_copies(seed: u64) -> Script {
+    use rand::rngs::StdRng;
+    use rand::{RngExt, SeedableRng};
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut pick = |n: u64| rng.random_range(0..n);
+    let kind = [
+        "",
+        "",
+        " of=commands",
+        " of=commands",
+        " of=transactions",
+        " of=leases",
+        " of=cloud",
+        " of=hints",
+        " of=heartbeats",
+        " of=users",
+    ][pick(10) as usize];
+    let text = all_fault_combinations(seed)
+        + &format!(
+            "at 3 late-copies{kind} share=0.{} min=0.{} max={} copies={} for={}\n",
+            1 + pick(9),
+            1 + pick(8),
+            [2, 20, 150][pick(3) as usize],
+            1 + pick(4),
+            60 + pick(120),
+        );
+    parse(&text)
+}
+
+/// The text of a scenario in which two or three fault combinations of all kinds overlap.
+fn all_fault_combinations(seed: u64) -> String {
     use rand::rngs::StdRng;
     use rand::{RngExt, SeedableRng};
     let mut rng = StdRng::seed_from_u64(seed);
@@ -316,7 +354,7 @@
         };
     }
     text += "expect all-done\n";
-    Script::parse(&text).unwrap_or_else(|e| panic!("{e}\n{text}"))
+    text
 }
 
 /// Scenarios with gangs have seeds above this one.
@@ -378,7 +416,7 @@
             _ => format!("at {at} take i-{:06} count=2 notice=6\n", 1 + pick(6)),
         };
     }
-    Script::parse(&text).unwrap_or_else(|e| panic!("{e}\n{text}"))
+    parse(&text)
 }
 
 /// The scenario of a seed: jobs of all kinds, and faults that overlap.
@@ -386,8 +424,11 @@
     if seed > GANG_SEEDS_FROM {
         return with_gangs(seed);
     }
+    if seed > LATE_COPIES_SEEDS_FROM {
+        return with_late_copies(seed);
+    }
     if seed > 6000 {
-        return with_all_fault_combinations(seed);
+        return parse(&all_fault_combinations(seed));
     }
     if seed > 5000 {
         return with_fault_combinations(seed);
@@ -580,5 +621,5 @@
         );
     }
     text += "expect all-done\n";
-    Script::parse(&text).unwrap_or_else(|e| panic!("{e}\n{text}"))
+    parse(&text)
 }
--- a/tests/runner/expectations.rs
+++ b/tests/runner/expectations.rs
@@ -199,6 +199,7 @@
                     .fault_counts
                     .get(what.as_str())
                     .is_some_and(|times| times >= n),
+                Expect::HeartbeatBytesAtMost(n) => self.max_heartbeat_bytes as u64 <= *n,
                 Expect::LateMachineRecordsAtMost(n) => self.late_machine_records <= *n,
                 Expect::CancelMarginAtLeast(least) => {
                     self.checker.cancel_margin.is_some_and(|m| m >= *least)
@@ -207,12 +208,13 @@
             };
             if !met {
                 failures.push(format!(
-                    "expected {e:?}; open: {:?}, margin {:?}, late machine records {}, starts after cancellation {}, injected {:?}, conflicts {}, failovers {}, lost leases {}, hosts {}, groups {}, \
+                    "expected {e:?}; open: {:?}, margin {:?}, late machine records {}, largest heartbeat {}, starts after cancellation {}, injected {:?}, conflicts {}, failovers {}, lost leases {}, hosts {}, groups {}, \
                      without a record {unrecorded}, released while cut off {:?}, lost with zones {}, stalls, expired leases, surplus machines {:?}, \
                      refused {}, largest value {:?}, state requests and changes {:?}, polls {:?}, starts {:?}, urgent within 2 s {:.3}, done {:?}",
                     self.checker.unfinished_jobs(),
                     self.checker.cancel_margin,
                     self.late_machine_records,
+                    self.max_heartbeat_bytes,
                     self.checker.starts_after_cancellation,
                     self.fault_counts,
                     self.counters.conflicts,
--- a/tests/runner/invariants.rs
+++ b/tests/runner/invariants.rs
@@ -100,6 +100,17 @@
             .push(format!("{:.3}: {text}", now as f64 / 1e6));
     }
 
+    /// A copy of a command that was carried out before started an attempt: nothing may depend on a command that arrives again.
+    pub fn record_start_by_copy(&mut self, now: u64, machine: u64, task: Task, attempt: u64) {
+        self.record_violation(
+            now,
+            format!(
+                "copy_started: a late copy starts {} attempt {attempt} on {machine}",
+                task_name(task)
+            ),
+        );
+    }
+
     /// Checks a task start or end on a machine. `machines` has all machines by number.
     pub fn observe(
         &mut self,
--- a/tests/runner/machines.rs
+++ b/tests/runner/machines.rs
@@ -112,6 +112,7 @@
         let mut message = None;
         if let Some(body) = w.due_report(now, (report as f64 * jitter) as u64) {
             let (node, sent) = (w.node % nodes, now);
+            self.max_heartbeat_bytes = self.max_heartbeat_bytes.max(body.len());
             message = Some((
                 node,
                 Message::Heartbeat {
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -9,6 +9,7 @@
 pub mod effects;
 mod expectations;
 pub mod invariants;
+mod late_copies;
 mod machines;
 pub mod placement_rules;
 pub mod script;
@@ -30,6 +31,7 @@
 use cometlead_constraints::RuleSet;
 pub use cometlead_emulator::fakes::{cloud, state, worker};
 use invariants::{InvariantChecker, MachineInfo};
+use late_copies::LateCopies;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use script::{CopiesTo, Mode, Party, Script, Step};
@@ -119,6 +121,8 @@
     CheckDeadlines,
     /// A transaction whose caller gets no response is carried out late.
     DelayedTransaction(Box<StateRequest>),
+    /// A request that was carried out before arrives once more; nobody waits for the response.
+    LateCopy(Box<Message>),
     /// A user sends an additional query, submission or cancellation.
     ExtraRequest {
         job: u64,
@@ -214,6 +218,8 @@
     late_writes: Vec<(f64, u64)>,
     /// Fractions of heartbeats that arrive a second time, with the end of the fault.
     late_reports: Vec<(f64, u64)>,
+    /// Late copies of requests that were carried out, with the end of the fault.
+    late_copies: Vec<(LateCopies, u64)>,
     /// Fractions of transactions whose responses are lost, with the end of the fault and the kind of transaction.
     lost_responses: Vec<(f64, u64, Option<String>)>,
     /// Copies of heartbeats that are delivered after a failover, and whether they go to all controllers then.
@@ -246,6 +252,8 @@
     lost_leases: u64,
     max_groups_of_shard: u64,
     throttled_requests: u64,
+    /// Size of the largest heartbeat, in bytes.
+    max_heartbeat_bytes: usize,
     /// Controllers that have not read the newest deploy file yet.
     nodes_with_old_settings: BTreeSet<usize>,
     /// Controllers that start with the previous version.
@@ -327,6 +335,7 @@
             throttled_nodes: Vec::new(),
             late_writes: Vec::new(),
             late_reports: Vec::new(),
+            late_copies: Vec::new(),
             lost_responses: Vec::new(),
             kept_heartbeats: Vec::new(),
             heartbeat_copy_windows: Vec::new(),
@@ -347,6 +356,7 @@
             lost_leases: 0,
             max_groups_of_shard: 0,
             throttled_requests: 0,
+            max_heartbeat_bytes: 0,
             nodes_with_old_settings: BTreeSet::new(),
             nodes_on_previous_version: (0..script.nodes)
                 .filter(|_| script.starts_on_previous_version)
@@ -760,6 +770,12 @@
                 sent,
                 body,
             } => {
+                self.copy_late(&Message::Heartbeat {
+                    machine,
+                    node,
+                    sent,
+                    body: body.clone(),
+                });
                 let heartbeat = Heartbeat::parse(&body).expect("a heartbeat");
                 let incarnation = heartbeat.incarnation();
                 let Some(response) =
@@ -793,32 +809,8 @@
                 body,
             } => self.handle_heartbeat_reply(machine, sent, incarnation, status, &body),
             Message::UserRequest { node, user } => {
-                let u = &self.users[user];
-                let (kind, job, attempt) = (u.kind, u.job, u.attempt);
-                let body = u.body.clone();
-                let Some(n) = self.nodes[node].as_mut() else {
-                    return;
-                };
-                let call = CallId(n.next_user_call);
-                n.next_user_call += 1;
-                n.open_user_calls.insert(call, (user, attempt));
-                let id = cometlead::storage::ids::JobId(job);
-                let request = match kind {
-                    "abort" => UserRequest::Cancel(id),
-                    "query" => UserRequest::Query(id),
-                    _ => {
-                        let event = match parse_submission(&body) {
-                            Ok((id, spec)) => {
-                                Event::User(call, UserRequest::Submit(id, Box::new(spec)))
-                            }
-                            // Like the server, which then reads only the job's name.
-                            Err(_) => Event::InvalidSubmission(call, id, "body".into()),
-                        };
-                        self.handle_event(node, event);
-                        return;
-                    }
-                };
-                self.handle_event(node, Event::User(call, request));
+                self.copy_late(&Message::UserRequest { node, user });
+                self.receive_user_request(node, user, Some(self.users[user].attempt));
             }
             Message::UserReply {
                 user,
@@ -831,11 +823,41 @@
                 }
             }
             Message::Hint { node, hint } => {
+                self.copy_late(&Message::Hint {
+                    node,
+                    hint: hint.clone(),
+                });
                 self.handle_event(node, Event::Peer(hint));
             }
         }
     }
 
+    /// A user's request has arrived at a controller. `attempt` is the one that waits for the response; `None` if nobody does.
+    fn receive_user_request(&mut self, node: usize, user: usize, attempt: Option<u32>) {
+        let u = &self.users[user];
+        let (kind, job) = (u.kind, u.job);
+        let body = u.body.clone();
+        let Some(n) = self.nodes[node].as_mut() else {
+            return;
+        };
+        let call = CallId(n.next_user_call);
+        n.next_user_call += 1;
+        if let Some(attempt) = attempt {
+            n.open_user_calls.insert(call, (user, attempt));
+        }
+        let id = cometlead::storage::ids::JobId(job);
+        let event = match kind {
+            "abort" => Event::User(call, UserRequest::Cancel(id)),
+            "query" => Event::User(call, UserRequest::Query(id)),
+            _ => match parse_submission(&body) {
+                Ok((id, spec)) => Event::User(call, UserRequest::Submit(id, Box::new(spec))),
+                // Like the server, which then reads only the job's name.
+                Err(_) => Event::InvalidSubmission(call, id, "body".into()),
+            },
+        };
+        self.handle_event(node, event);
+    }
+
     /// A controller's request has arrived at its callee.
     fn receive_call(&mut self, node: usize, incarnation: u64, call: CallId, outbound: Outbound) {
         let now = self.now;
@@ -857,9 +879,7 @@
                     self.throttled_requests += 1;
                     Some((429, json!({})))
                 } else if self.loses_response(request) {
-                    self.last_id += 1;
-                    self.state.request(now, self.last_id, method, &path, &body);
-                    self.state_tick();
+                    self.carry_out_state_request(request);
                     return;
                 } else {
                     // Each watch needs an id of its own, by which its response is found later.
@@ -881,16 +901,7 @@
                     response
                 }
             }
-            Outbound::Cloud(request) => {
-                let (method, path, body) = cloud_wire::http(request);
-                let mut rng = StdRng::seed_from_u64(self.rng.random());
-                let before: Vec<u64> = self.cloud.hosts.keys().copied().collect();
-                let response = self
-                    .cloud
-                    .request(now, method, &path, &body, &mut || rng.random::<f64>());
-                self.apply_cloud_changes(&before);
-                Some(response)
-            }
+            Outbound::Cloud(request) => Some(self.carry_out_cloud_request(request)),
             Outbound::PushCommand(machine, body) => {
                 let mut task_events = Vec::new();
                 let response = self.deliver_command(*machine, body, &mut task_events);
@@ -899,6 +910,12 @@
             }
         };
         if let Some((status, body)) = response {
+            self.copy_late(&Message::Request {
+                node,
+                incarnation,
+                call,
+                outbound: outbound.clone(),
+            });
             let from = Self::callee(&outbound);
             let response = Some((status, body.to_string().into_bytes()));
             self.send(
@@ -916,6 +933,26 @@
         }
     }
 
+    fn carry_out_cloud_request(&mut self, request: &cloud_wire::CloudRequest) -> (u16, Value) {
+        let (method, path, body) = cloud_wire::http(request);
+        let mut rng = StdRng::seed_from_u64(self.rng.random());
+        let before: Vec<u64> = self.cloud.hosts.keys().copied().collect();
+        let response = self
+            .cloud
+            .request(self.now, method, &path, &body, &mut || rng.random::<f64>());
+        self.apply_cloud_changes(&before);
+        response
+    }
+
+    /// Carries out a request to the state service whose response nobody gets.
+    fn carry_out_state_request(&mut self, request: &StateRequest) {
+        let (method, path, body) = state_wire::http(request);
+        self.last_id += 1;
+        self.state
+            .request(self.now, self.last_id, method, &path, &body);
+        self.state_tick();
+    }
+
     /// Whether a fault in the list affects a controller now.
     fn is_affected(&self, list: &[(usize, u64)], node: usize) -> bool {
         list.iter()
@@ -1047,6 +1084,7 @@
                 span,
                 to: CopiesTo::Same,
             } => self.late_reports.push((share, now + span)),
+            Step::LateCopies { copies, span } => self.late_copies.push((copies, now + span)),
             Step::DuplicateHeartbeats { share, span, to } => {
                 self.heartbeat_copy_windows
                     .push((share, now + span, to == CopiesTo::All));
@@ -1256,12 +1294,8 @@
                         .max(self.now + 20_000);
                     self.schedule(next.min(self.now + 100_000), SimEvent::StateTick);
                 }
-                SimEvent::DelayedTransaction(request) => {
-                    let (method, path, body) = state_wire::http(&request);
-                    self.last_id += 1;
-                    self.state.request(at, self.last_id, method, &path, &body);
-                    self.state_tick();
-                }
+                SimEvent::DelayedTransaction(request) => self.carry_out_state_request(&request),
+                SimEvent::LateCopy(message) => self.deliver_late_copy(*message),
                 SimEvent::CheckDeadlines => {
                     self.checker.check_deadlines(self.now);
                     self.check_starvation();
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -4,6 +4,7 @@
 mod step;
 mod words;
 
+use super::late_copies::LateCopies;
 pub use cometlead_emulator::fakes::cloud::TypeSpec;
 use expectation::expectation;
 use std::collections::BTreeMap;
@@ -57,8 +58,7 @@
 pub enum Mode {
     Drop,
     Hold,
-    /// Every message arrives twice, the second time late. Pushed commands are excepted: TCP delivers
-    /// a request once, and a request that was answered is over.
+    /// Every message but pushed commands arrives twice, the second time late. [`Step::LateCopies`] copies pushed commands too.
     Repeat,
     /// Pushed commands arrive when the fault is over, everything else at once.
     LateCommands,
@@ -138,6 +138,11 @@
         span: u64,
         to: CopiesTo,
     },
+    /// Requests that were carried out arrive once more, later, up to several times and in any order with the others.
+    LateCopies {
+        copies: LateCopies,
+        span: u64,
+    },
     /// One-way partition of `count` machines with consecutive numbers: their heartbeats are lost; pushed commands arrive and
     /// are answered.
     DropHeartbeats {
@@ -309,6 +314,8 @@
     Fair,
     /// Every task of a cancelled job had ended at least this long before the cancellation deadline.
     CancelMarginAtLeast(u64),
+    /// No heartbeat was larger than this, in bytes.
+    HeartbeatBytesAtMost(u64),
     /// At most this many machines got a record after they were terminated.
     LateMachineRecordsAtMost(u64),
     /// At most this many tasks started after a response reported their jobs as cancelled.
@@ -382,6 +389,7 @@
             | Step::OddRequests { span }
             | Step::ScaleBootTimes { span, .. }
             | Step::Polls { span, .. } => *span,
+            Step::LateCopies { copies, span } => span + copies.max_delay(),
             Step::Crash { down, .. } | Step::FailZone { down, .. } => *down,
             Step::ChangeVersion { down, .. } | Step::ChangeRules { down, .. } => *down,
             Step::ReclaimMachines { notice, .. } => *notice,
--- a/tests/runner/script/expectation.rs
+++ b/tests/runner/script/expectation.rs
@@ -90,6 +90,7 @@
             positional_count = 4;
             Expect::InjectedAtLeast(w.positional(2, parse_text)?, w.positional(3, parse_count)?)
         }
+        "heartbeat-bytes-at-most" => Expect::HeartbeatBytesAtMost(w.positional(2, parse_count)?),
         "ghosts-at-most" => Expect::LateMachineRecordsAtMost(w.positional(2, parse_count)?),
         "margin" => Expect::CancelMarginAtLeast(w.positional(2, micros)?),
         "machines-at-most" => Expect::MachinesAtMost(w.positional(2, parse_count)?),
--- a/tests/runner/script/step.rs
+++ b/tests/runner/script/step.rs
@@ -1,7 +1,9 @@
 //! Steps of a scenario: requests of users, and faults.
 
-use super::words::{StatementWords, job, micros};
+use super::words::{StatementWords, job, micros, parse_amount, parse_count};
 use super::{CopiesTo, Mode, Party, Step};
+use crate::runner::late_copies::{LateCopies, RequestKind};
+use cometlead_emulator::fakes::late_copies::CopySchedule;
 use std::collections::BTreeMap;
 
 /// Fields of a submission that a scenario may set.
@@ -34,6 +36,7 @@
         })
     };
     let share = |t: &str| t.parse::<f64>().ok().filter(|s| (0.0..=1.0).contains(s));
+    let positive = |t: &str| parse_amount(t).filter(|amount| *amount > 0.0);
     let parse_yes_no = |t: &str| match t {
         "yes" => Some(true),
         "no" => Some(false),
@@ -152,6 +155,19 @@
             };
             (step, 3)
         }
+        "late-copies" => {
+            let copies = LateCopies {
+                of: w.optional("of", RequestKind::parse)?,
+                schedule: CopySchedule {
+                    share: w.required("share", share)?,
+                    min_delay_s: w.required("min", positive)?,
+                    max_delay_s: w.required("max", positive)?,
+                    max_copies: w.optional("copies", parse_count)?.unwrap_or(1),
+                },
+            };
+            let span = w.required("for", micros)?;
+            (Step::LateCopies { copies, span }, 3)
+        }
         "deaf" | "mute" => {
             let count = w.optional("count", |t| t.parse().ok())?.unwrap_or(1);
             let (machine, span) = (w.positional(3, machine)?, w.required("for", micros)?);
