Workers forget tasks only with a token that refuses copies of their launches

An attempt had failed on its machine and was forgotten; 2.8 s later the call that had started it, answered long before, reached the worker once more, with token and session still in force, and the attempt ran again beside the next one. The same happens to tasks that were moved, or cancelled.

Cause: an answer was taken for proof that a command cannot arrive any more (`Launches::is_settled`). It proves that of the first delivery only; a copy of a launch is harmless while the worker knows the attempt, and `forget` ends that.

Fix: `forget` goes out only under a fencing token above that of every launch pushed to the machine in this leadership, so the worker refuses copies from the moment it forgets. The leader takes the token from its replica's revision: every later claim has a higher revision, so all order between leaders stays. The release of the assignment is a change after the launch, so the replica passes the launch's token by itself: nothing is written, and nothing rests on a delay. The token rises in the response to a heartbeat, while no pushed command is in flight that the worker would refuse. A launch without an answer is fenced in the same way, without a new term.

The log names token and revision of commands (debug), and counts refused pushes.

--- a/src/coordination/agents/agent.rs
+++ b/src/coordination/agents/agent.rs
@@ -4,7 +4,8 @@
 use super::liveness::longest_expected_silence;
 use crate::protocol::settings::Settings;
 use crate::protocol::worker::{Heartbeat, HeartbeatId, TaskState};
-use crate::storage::ids::{Attempt, JobId};
+use crate::storage::cell_state::CellState;
+use crate::storage::ids::{Attempt, JobId, ShardId};
 use crate::storage::records::{MachineHealth, MachineRecord};
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet};
@@ -35,6 +36,25 @@
     }
 }
 
+/// The fencing tokens that a leader may give. At the replica's revision this process leads the shard, so every later claim, and with
+/// it the term of every later leader, is above it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TokenRange {
+    /// The leader term: the lowest token.
+    pub leader_term: u64,
+    /// The replica's revision: the highest token.
+    pub replica_revision: u64,
+}
+
+impl TokenRange {
+    pub(super) fn of_shard(cell: &CellState, shard: ShardId) -> TokenRange {
+        TokenRange {
+            leader_term: cell.leaders[shard].mod_revision,
+            replica_revision: cell.revision,
+        }
+    }
+}
+
 /// What this process knows of a machine's agent during its own term as the leader of the machine's shard.
 #[derive(Debug)]
 pub struct Agent {
@@ -61,6 +81,8 @@
     acknowledged: Option<HeartbeatId>,
     /// The highest fencing token that it reported.
     fencing_token: u64,
+    /// The fencing token of its commands, if it was raised above the leader term; else 0.
+    raised_token: u64,
     /// Number of consecutive heartbeats that do not show that the agent receives commands: they may be duplicates.
     unconfirmed_heartbeats: u32,
     reported_tasks: Vec<(Attempt, TaskState)>,
@@ -91,6 +113,7 @@
             unreachable: false,
             acknowledged: None,
             fencing_token: 0,
+            raised_token: 0,
             unconfirmed_heartbeats: 0,
             reported_tasks: Vec::new(),
             running_since: BTreeMap::new(),
@@ -342,6 +365,36 @@
         &mut self.launches
     }
 
+    /// The fencing token of the next commands. A reported token above the replica's revision is that of a later leader.
+    pub(super) fn command_token(&self, range: TokenRange) -> u64 {
+        let token = range.leader_term.max(self.raised_token);
+        if self.fencing_token <= range.replica_revision {
+            token.max(self.fencing_token)
+        } else {
+            token
+        }
+    }
+
+    /// Whether it refuses every copy of the launches pushed so far once it has executed the next commands.
+    pub(super) fn is_fenced_from_pushed_launches(&self, range: TokenRange) -> bool {
+        self.launches.are_refused_with(self.command_token(range))
+    }
+
+    /// Raises the token of the next commands if copies of the launches pushed so far would be accepted otherwise. Returns whether
+    /// they will be refused. The token stays while a pushed command is in flight, because the agent would refuse that one too.
+    pub(super) fn fence_pushed_launches(&mut self, range: TokenRange) -> bool {
+        if self.is_fenced_from_pushed_launches(range) {
+            return true;
+        }
+        if self.launches.is_push_in_flight()
+            || !self.launches.are_refused_with(range.replica_revision)
+        {
+            return false;
+        }
+        self.raised_token = range.replica_revision;
+        true
+    }
+
     /// Handles a pushed command that got no response.
     pub(super) fn on_push_lost(&mut self, now: Micros, command: PushedCommand) {
         self.unreachable = true;
--- a/src/coordination/agents/agent/tests.rs
+++ b/src/coordination/agents/agent/tests.rs
@@ -1,7 +1,8 @@
-//! Tests of when an agent's lease has certainly expired.
+//! Tests of when an agent's lease has certainly expired, and of the fencing token of its commands.
 
 use super::*;
-use crate::storage::ids::MachineId;
+use crate::coordination::CallId;
+use crate::storage::ids::{MachineId, TaskId};
 
 const TERM: u64 = 40;
 
@@ -55,6 +56,73 @@
     assert_eq!(unrenewed_s(&agent, 30), Some(11));
 }
 
+const RANGE: TokenRange = TokenRange {
+    leader_term: TERM,
+    replica_revision: TERM + 20,
+};
+
+fn range_at(replica_revision: u64) -> TokenRange {
+    TokenRange {
+        replica_revision,
+        ..RANGE
+    }
+}
+
+/// An agent to which a launch is pushed under this token; no response has arrived.
+fn agent_with_push(fencing_token: u64) -> Agent {
+    let mut agent = Agent::new("", "g8", "a", true);
+    let attempt = Attempt {
+        task: TaskId {
+            job: JobId(1),
+            index: 0,
+        },
+        number: 7,
+    };
+    agent.launches.begin_push(PushedCommand {
+        call: CallId(5),
+        fencing_token,
+        incarnation: 1,
+        launches: vec![attempt],
+    });
+    agent
+}
+
+/// A copy of a pushed launch may arrive after the response.
+#[test]
+fn token_rises_above_that_of_answered_launches() {
+    let mut agent = agent_with_push(TERM);
+    assert!(agent.launches.end_push(CallId(5)).is_some());
+    assert_eq!(agent.command_token(RANGE), TERM);
+    assert!(!agent.is_fenced_from_pushed_launches(RANGE));
+    assert!(agent.fence_pushed_launches(RANGE));
+    assert_eq!(agent.command_token(RANGE), TERM + 20);
+    // Nothing was pushed since: the token stays.
+    assert!(agent.fence_pushed_launches(range_at(TERM + 30)));
+    assert_eq!(agent.command_token(range_at(TERM + 30)), TERM + 20);
+}
+
+/// A higher token makes the agent refuse the command in flight, and an equal one lets it accept copies.
+#[test]
+fn token_stays_while_a_push_is_in_flight_or_the_replica_is_no_newer_than_the_last_push() {
+    let mut agent = agent_with_push(TERM + 20);
+    assert!(!agent.fence_pushed_launches(range_at(TERM + 30)));
+    assert!(agent.launches.end_push(CallId(5)).is_some());
+    assert!(!agent.fence_pushed_launches(RANGE));
+    assert!(agent.fence_pushed_launches(range_at(TERM + 21)));
+    assert_eq!(agent.command_token(range_at(TERM + 21)), TERM + 21);
+}
+
+/// An agent that is registered anew may have a raised token already.
+#[test]
+fn token_is_that_which_the_agent_reports_unless_a_later_leader_gave_it() {
+    for (reported, expected) in [(TERM + 9, TERM + 9), (TERM + 21, TERM), (TERM - 5, TERM)] {
+        let mut agent = Agent::new("", "g8", "a", true);
+        let heartbeat = heartbeat(1, 1, reported);
+        agent.on_new_heartbeat(Micros::secs(1), &heartbeat, TERM, false);
+        assert_eq!(agent.command_token(RANGE), expected);
+    }
+}
+
 /// Without an acknowledgement in this term there is no time from which the lease could be counted.
 #[test]
 fn lease_expiry_is_unknown_without_acknowledgement() {
--- a/src/coordination/agents/commands.rs
+++ b/src/coordination/agents/commands.rs
@@ -3,7 +3,7 @@
 //! Releases of assignments that are proved to have ended are passed to the next commit round.
 
 use super::AssignmentOutcome;
-use super::agent::Agent;
+use super::agent::{Agent, TokenRange};
 use super::launch_policy::{PreemptionWindow, exceeds_quota, grace_period, has_room};
 use crate::coordination::Controller;
 use crate::coordination::commit::Rounds;
@@ -48,6 +48,7 @@
     shard: ShardId,
     machine: MachineId,
     record: Option<&'a MachineRecord>,
+    delivery: Delivery,
     commands: Vec<Command>,
     /// A launch was left out; it has to be sent by a pushed command.
     push_needed: bool,
@@ -60,7 +61,7 @@
             match (self.is_assigned(&attempt), state) {
                 (true, TaskState::Exited(ended)) => self.on_exited(attempt, ended),
                 (true, state) => self.stop_if_required(attempt, state),
-                (false, TaskState::Exited(_)) => self.forget_if_settled(attempt),
+                (false, TaskState::Exited(_)) => self.forget_if_fenced(attempt),
                 (false, _) => self.commands.push(Command::Stop(attempt, Micros::ZERO)),
             }
         }
@@ -148,16 +149,21 @@
         .stop_grace_period(job.spec(), self.agent.running_for(&attempt, self.now))
     }
 
-    /// Makes the agent forget an exited task whose assignment has been released, so its outcome is recorded. The agent must
-    /// remember the task until no launch of it can arrive any more; otherwise it would run again.
-    fn forget_if_settled(&mut self, attempt: Attempt) {
-        if !self.agent.has_current_token() {
-            return;
-        }
-        if self.agent.launches().is_settled(&attempt) {
+    /// Makes the agent forget an exited task whose assignment has been released, so its outcome is recorded. An agent that accepted
+    /// a copy of the launch afterwards would run the task again.
+    fn forget_if_fenced(&mut self, attempt: Attempt) {
+        if self.agent.has_current_token() && self.fence_pushed_launches() {
             self.commands.push(Command::Forget(attempt));
-        } else if self.agent.launches().has_unsettled() {
-            self.request_new_term();
+        }
+    }
+
+    /// Whether the agent refuses every copy of a launch pushed so far once it executes these commands. A token raised out of order
+    /// would make it drop a response that is still in flight.
+    fn fence_pushed_launches(&mut self) -> bool {
+        let range = TokenRange::of_shard(self.cell, self.shard);
+        match self.delivery {
+            Delivery::InResponse => self.agent.fence_pushed_launches(range),
+            Delivery::OutOfOrder => self.agent.is_fenced_from_pushed_launches(range),
         }
     }
 
@@ -170,7 +176,7 @@
         );
     }
 
-    fn handle_unreported_assignments(&mut self, delivery: Delivery) {
+    fn handle_unreported_assignments(&mut self) {
         let Some(record) = self.record else {
             return;
         };
@@ -184,8 +190,10 @@
                 continue;
             }
             match self.launch_refusal(record, assignment, attempt) {
-                None => self.launch(attempt, delivery),
-                Some(refusal) if delivery == Delivery::InResponse => self.release(attempt, refusal),
+                None => self.launch(attempt),
+                Some(refusal) if self.delivery == Delivery::InResponse => {
+                    self.release(attempt, refusal);
+                }
                 Some(_) => {}
             }
         }
@@ -214,11 +222,11 @@
         unwanted.then_some(LaunchRefusal::Unwanted)
     }
 
-    fn launch(&mut self, attempt: Attempt, delivery: Delivery) {
+    fn launch(&mut self, attempt: Attempt) {
         if !has_room(self.agent, self.cell, self.record, &attempt) {
             return;
         }
-        match delivery {
+        match self.delivery {
             Delivery::InResponse => {
                 self.agent.launches_mut().note_sent(attempt);
                 self.commands.push(Command::Launch(attempt));
@@ -258,6 +266,14 @@
 }
 
 impl Controller {
+    /// The fencing token of the next commands to a machine's agent.
+    pub(super) fn command_token(&self, shard: ShardId, machine: MachineId) -> u64 {
+        let range = TokenRange::of_shard(&self.cell, shard);
+        self.agents
+            .get(&machine)
+            .map_or(range.leader_term, |agent| agent.command_token(range))
+    }
+
     /// Builds the commands for a machine's agent from its newest heartbeat and the cell state.
     pub(super) fn build_commands(
         &mut self,
@@ -279,11 +295,12 @@
             shard,
             machine,
             record: self.cell.machine(machine),
+            delivery,
             commands: Vec::new(),
             push_needed: false,
         };
         builder.add_commands_for_reported_tasks();
-        builder.handle_unreported_assignments(delivery);
+        builder.handle_unreported_assignments();
         let (commands, push_needed) = (builder.commands, builder.push_needed);
         if push_needed {
             self.agents_to_command.insert(machine);
--- a/src/coordination/agents/heartbeats.rs
+++ b/src/coordination/agents/heartbeats.rs
@@ -1,7 +1,7 @@
 //! Heartbeats of agents: which controller responds to them, and what they change.
 
 use super::HealthChange;
-use super::agent::{Agent, HeartbeatLossLimits};
+use super::agent::{Agent, HeartbeatLossLimits, TokenRange};
 use super::commands::Delivery;
 use crate::coordination::Controller;
 use crate::protocol::worker::{Heartbeat, HeartbeatResponse};
@@ -47,8 +47,12 @@
         };
         let commands = self.build_commands(shard, machine, delivery);
         self.probe_if_unconfirmed(machine);
+        let fencing_token = self.command_token(shard, machine);
+        if !commands.is_empty() {
+            tracing::debug!(%machine, token = fencing_token, revision = self.cell.revision, ?commands, "commands sent");
+        }
         HeartbeatResponse::Commands {
-            fencing_token: self.cell.leaders[shard].mod_revision,
+            fencing_token,
             commands,
         }
     }
@@ -72,10 +76,10 @@
 
     /// Whether the agent has the fencing token of a later leader. If so, this replica is out of date, and a barrier is requested.
     fn has_newer_token(&mut self, shard: ShardId, heartbeat: &Heartbeat) -> bool {
-        let fencing_token = self.cell.leaders[shard].mod_revision;
-        let newer = heartbeat.fencing_token > fencing_token;
+        let highest = TokenRange::of_shard(&self.cell, shard).replica_revision;
+        let newer = heartbeat.fencing_token > highest;
         if newer {
-            tracing::info!(machine = %heartbeat.machine, theirs = heartbeat.fencing_token, ours = fencing_token, "agent has a newer fencing token");
+            tracing::info!(machine = %heartbeat.machine, theirs = heartbeat.fencing_token, ours = highest, "agent has a newer fencing token");
             self.replica.request_barrier();
         }
         newer
--- a/src/coordination/agents/launches.rs
+++ b/src/coordination/agents/launches.rs
@@ -1,7 +1,7 @@
 //! Launches that were sent to an agent, and the pushed command that is in flight to it.
 //!
-//! A launch is settled once no pushed command can deliver it any more: the command got a response, or the agent would refuse the
-//! launch because it has a higher fencing token or a newer incarnation.
+//! A launch is settled once no pushed command can deliver it for the first time any more: the command got a response, or the agent
+//! would refuse the launch because it has a higher fencing token or a newer incarnation. Only the latter proves that no copy is executed.
 
 use crate::coordination::CallId;
 use crate::protocol::worker::Heartbeat;
@@ -45,13 +45,23 @@
     unsettled: Vec<UnsettledLaunch>,
     /// When `unsettled` last became non-empty.
     unsettled_since: Micros,
+    /// The highest fencing token under which a launch was pushed; 0 if none was.
+    last_push_token: u64,
 }
 
 impl Launches {
     pub(super) fn begin_push(&mut self, command: PushedCommand) {
+        if !command.launches.is_empty() {
+            self.last_push_token = self.last_push_token.max(command.fencing_token);
+        }
         self.pushed = Some(command);
     }
 
+    /// Whether an agent that has this fencing token refuses every copy of the launches that were pushed so far.
+    pub(super) fn are_refused_with(&self, fencing_token: u64) -> bool {
+        self.last_push_token < fencing_token
+    }
+
     /// Whether a command is in flight; if so, the machine is considered again once that command has ended.
     pub(super) fn defer_push(&mut self) -> bool {
         if self.pushed.is_some() {
@@ -120,7 +130,7 @@
         self.sent.iter()
     }
 
-    /// Whether no pushed command can still deliver a launch of the attempt.
+    /// Whether no pushed command can still deliver a launch of the attempt for the first time.
     pub(super) fn is_settled(&self, attempt: &Attempt) -> bool {
         !self
             .unsettled
--- a/src/coordination/agents/push.rs
+++ b/src/coordination/agents/push.rs
@@ -156,6 +156,8 @@
         };
         agent.on_commands_received(now);
         if !executed {
+            tracing::debug!(%machine, token = pushed.fencing_token, theirs = heartbeat.fencing_token, "pushed commands refused");
+            self.counters.pushes_refused += 1;
             for attempt in &pushed.launches {
                 agent.launches_mut().drop_sent(attempt);
             }
@@ -178,12 +180,13 @@
         launches: Vec<Attempt>,
     ) {
         let shard = self.cell.shard_of_machine(machine);
-        let fencing_token = self.cell.leaders[shard].mod_revision;
+        let fencing_token = self.command_token(shard, machine);
         let Some(agent) = self.agents.get(&machine).filter(|a| a.can_be_probed()) else {
             return;
         };
         let (endpoint, incarnation) = (agent.endpoint().to_owned(), agent.incarnation());
         let body = command_body(fencing_token, incarnation, &commands);
+        tracing::debug!(%machine, token = fencing_token, revision = self.cell.revision, incarnation, ?commands, "commands pushed");
         let call = self.register_call(Purpose::PushCommand(machine));
         if let Some(agent) = self.agents.get_mut(&machine) {
             agent.launches_mut().begin_push(PushedCommand {
--- a/src/coordination/counters.rs
+++ b/src/coordination/counters.rs
@@ -24,6 +24,8 @@
     pub failovers: u64,
     /// Stalls of this process.
     pub stalls: u64,
+    /// Pushed commands that agents refused because of their fencing token or incarnation.
+    pub pushes_refused: u64,
     /// Agent incarnations declared over because their lease expired.
     pub expired_agents: u64,
     /// Machines selected for scale-in because they had no work.
@@ -76,6 +78,7 @@
             released = counters.released,
             refused = counters.refused,
             stalls = counters.stalls,
+            pushes_refused = counters.pushes_refused,
             silenced = counters.expired_agents,
             unneeded = counters.idle_machines_scaled_in,
             lost_with_zones = counters.unreachable_with_zones,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -99,6 +99,7 @@
                 .chain(4001..=4000 + count)
                 .chain(5001..=5000 + count)
                 .chain(6001..=6000 + count)
+                .chain(7001..=7000 + count)
                 .chain(
                     random_scenarios::GANG_SEEDS_FROM + 1
                         ..=random_scenarios::GANG_SEEDS_FROM + count / 4,
