--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -124,6 +124,15 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
+/// A reservation for a gang keeps other jobs off machines with room for more than 90 s.
+#[test]
+fn no_job_waits_beside_machines_reserved_for_a_gang() {
+    let seeds = [7239, 7510, 8058, 8601, 8760, 9376, 9840];
+    let scenarios = seeds.map(|seed| (format!("seed {seed}"), generate(seed)));
+    let failures = run_all(&scenarios);
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
 #[test]
 fn invalid_scenario_lines_are_reported_with_their_number() {
     for (text, line) in [
