--- a/tests/runner/adversarial.rs
+++ b/tests/runner/adversarial.rs
@@ -1,7 +1,8 @@
 //! Adversarial users and messages: bursts of queries, cancellations at the worst moment, unusual requests, lost responses,
 //! and copies of heartbeats that arrive after a failover.
 
-use super::{Message, SimEvent, World};
+use super::messages::Message;
+use super::{SimEvent, World};
 use cometlead::protocol::state::{StateRequest, Transaction};
 use cometlead::storage::records::Key;
 use serde_json::{Value, json};
--- a/tests/runner/late_copies.rs
+++ b/tests/runner/late_copies.rs
@@ -1,7 +1,8 @@
 //! Late copies: requests that were carried out and answered arrive once more, after fractions of a second to minutes, up to
 //! several times, in any order with the others, and whether or not their sender still runs.
 
-use super::{Message, Outbound, SimEvent, World};
+use super::messages::{Message, Outbound};
+use super::{SimEvent, World};
 use cometlead::protocol::cloud::CloudRequest;
 use cometlead::protocol::state::StateRequest;
 use cometlead_emulator::fakes::late_copies::CopySchedule;
--- a/tests/runner/machines.rs
+++ b/tests/runner/machines.rs
@@ -1,9 +1,10 @@
 //! Machines and their workers: boots, heartbeats, responses, pushed commands.
 
 use super::invariants::MachineInfo;
+use super::messages::{Message, Outbound};
 use super::script::Party;
 use super::worker::{NEXT_NODE_DELAY_US, REPORT_TIMEOUT_US, Redirect, TaskEvent, Worker};
-use super::{Message, Outbound, SimEvent, World};
+use super::{SimEvent, World};
 use cometlead::coordination::CallId;
 use serde_json::Value;
 
--- a/tests/runner/users.rs
+++ b/tests/runner/users.rs
@@ -1,8 +1,9 @@
 //! Users: their submissions, queries and cancellations, and how they retry them.
 
 use super::invariants::JobRequest;
+use super::messages::Message;
 use super::worker::JobInfo;
-use super::{Message, SimEvent, User, World};
+use super::{SimEvent, User, World};
 use cometlead_emulator::fakes::submission::Submission;
 use std::collections::BTreeMap;
 
