Copies of heartbeats no longer put off the end of a silent machine's lease

Cause: every acknowledged heartbeat moved the time from which the end of the lease counts, a copy too. A lease counts from when the answered heartbeat was sent; one that is not newer than the newest was sent before the newest arrived.

Fix: an acknowledgement of such a heartbeat counts from when the newest arrived. One that the worker sent before it answered a pushed command still counts in full, for the response is the newest then. So the time is never earlier than the start of any lease.

--- a/src/coordination/agents/agent.rs
+++ b/src/coordination/agents/agent.rs
@@ -64,9 +64,11 @@
     spot: bool,
     /// The newest heartbeat, by incarnation and sequence number.
     latest_heartbeat: HeartbeatId,
+    /// When the newest heartbeat arrived.
+    latest_heartbeat_at: Micros,
     /// The agent reported a fencing token of this term, so it accepts no commands of earlier leaders any more.
     has_current_token: bool,
-    /// When the last acknowledged heartbeat arrived.
+    /// When the last acknowledged heartbeat had certainly been sent.
     acknowledged_at: Option<Micros>,
     /// The latest time at which its lease may have begun, or may have been renewed by an earlier leader: when its current
     /// incarnation was first reported, or when it first reported a token of this term, whichever is later.
@@ -105,6 +107,7 @@
             zone: zone.to_owned(),
             spot,
             latest_heartbeat: HeartbeatId::NONE,
+            latest_heartbeat_at: Micros::ZERO,
             has_current_token: false,
             acknowledged_at: None,
             latest_lease_start: Micros::ZERO,
@@ -229,6 +232,7 @@
             self.latest_lease_start = now;
         }
         self.latest_heartbeat = heartbeat.id;
+        self.latest_heartbeat_at = now;
         if !self.has_current_token && heartbeat.fencing_token >= first_term {
             self.has_current_token = true;
             self.latest_lease_start = now;
@@ -247,9 +251,11 @@
         }
     }
 
-    /// Records that a heartbeat is acknowledged, which renews the agent's lease.
-    pub(super) fn acknowledge(&mut self, now: Micros, heartbeat: HeartbeatId) {
-        self.acknowledged_at = Some(now);
+    /// Records that a heartbeat is acknowledged, which renews the agent's lease from when the heartbeat was sent. One that is not
+    /// newer than the newest was sent before that one arrived, however late it comes.
+    pub(super) fn acknowledge(&mut self, heartbeat: HeartbeatId) {
+        let renewed_by = self.acknowledged_at.max(Some(self.latest_heartbeat_at));
+        self.acknowledged_at = renewed_by;
         self.acknowledged = Some(heartbeat);
     }
 
--- a/src/coordination/agents/agent/tests.rs
+++ b/src/coordination/agents/agent/tests.rs
@@ -123,6 +123,23 @@
     }
 }
 
+/// Copies of old heartbeats arrive for minutes and are acknowledged.
+#[test]
+fn acknowledged_copies_of_heartbeats_do_not_put_off_the_end_of_the_lease() {
+    let mut agent = Agent::new("", "g8", "a", true);
+    agent.adopt_id_and_token(Micros::secs(10), &heartbeat(1, 4, TERM), TERM);
+    agent.acknowledge(heartbeat(1, 4, TERM).id);
+    for sequence in [3, 4] {
+        agent.acknowledge(heartbeat(1, sequence, TERM).id);
+        assert_eq!(unrenewed_s(&agent, 30), Some(20));
+    }
+    // The response to a pushed command has a higher number; the heartbeat before it may have been sent until then.
+    agent.adopt_id_and_token(Micros::secs(16), &heartbeat(1, 6, TERM), TERM);
+    assert_eq!(unrenewed_s(&agent, 30), Some(20));
+    agent.acknowledge(heartbeat(1, 5, TERM).id);
+    assert_eq!(unrenewed_s(&agent, 30), Some(14));
+}
+
 /// Without an acknowledgement in this term there is no time from which the lease could be counted.
 #[test]
 fn lease_expiry_is_unknown_without_acknowledgement() {
--- a/src/coordination/agents/heartbeats.rs
+++ b/src/coordination/agents/heartbeats.rs
@@ -38,7 +38,7 @@
             return HeartbeatResponse::Unavailable;
         }
         if let Some(agent) = self.agents.get_mut(&machine) {
-            agent.acknowledge(self.now.monotonic, heartbeat.id);
+            agent.acknowledge(heartbeat.id);
         }
         let delivery = if newer {
             Delivery::InResponse
