Late copies: one place executes a copy of a command, one place copies requests to controllers

The runner and the emulator each compared a worker's attempts before and after a copied command; the fake worker does it for both now (handle_command_copy). In the runner, requests to controllers are copied where they are delivered instead of at three places that cloned the message whether or not anything is copied, and a copy to a hanging machine is put off as it is, so it is no longer rebuilt and counted twice.

--- a/crates/emulator/src/fakes/worker.rs
+++ b/crates/emulator/src/fakes/worker.rs
@@ -76,6 +76,15 @@
     Ended(Task, &'static str),
 }
 
+/// What a copy of a direct command did.
+#[derive(Clone, Debug)]
+pub struct CopyOutcome {
+    /// Whether its fencing token and session were accepted.
+    pub accepted: bool,
+    /// The attempts that it started: their tasks and numbers.
+    pub started: Vec<(Task, u64)>,
+}
+
 /// Node that a worker reports to next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Redirect {
@@ -268,6 +277,23 @@
         Some((if is_accepted { 200 } else { 409 }, self.report(now)))
     }
 
+    /// Handles a direct command that was carried out before. Returns whether it was accepted, and what it started.
+    pub fn handle_command_copy(
+        &mut self,
+        now: u64,
+        body: &[u8],
+        jobs: &BTreeMap<u64, JobInfo>,
+        events: &mut Vec<TaskEvent>,
+    ) -> CopyOutcome {
+        let before: Vec<(Task, u64)> = self.attempts.keys().copied().collect();
+        let answer = self.handle_command(now, body, jobs, events);
+        let is_new = |attempt: &&(Task, u64)| !before.contains(attempt);
+        CopyOutcome {
+            accepted: answer.is_some_and(|(status, _)| status == 200),
+            started: self.attempts.keys().filter(is_new).copied().collect(),
+        }
+    }
+
     /// Cores and memory that the attempts that have not ended leave free.
     pub fn free_resources(&self, jobs: &BTreeMap<u64, JobInfo>) -> (f64, f64) {
         let live = self
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -91,7 +91,7 @@
     pub cloud: CloudSpec,
     /// Resource limits of each controller, as written to its deploy file.
     pub controller: ControllerSpec,
-    /// Requests of all kinds but those between controllers arrive again after they were answered, during the whole run.
+    /// Requests of all kinds but those between controllers arrive again later, during the whole run.
     #[serde(default)]
     pub late_copies: Option<CopySchedule>,
     /// Faults to inject during the measurement.
--- a/crates/emulator/src/workers.rs
+++ b/crates/emulator/src/workers.rs
@@ -275,30 +275,22 @@
         };
         let now = region.context.now();
         let mut events = Vec::new();
-        let (answer, started) = {
+        let outcome = {
             let jobs = region.context.jobs.read();
             let mut worker = self.worker.lock();
             if self.stopped.load(Ordering::Relaxed) {
                 return;
             }
-            let before: Vec<_> = worker.attempts.keys().copied().collect();
-            let answer = worker.handle_command(now, &body, &jobs, &mut events);
-            let started: Vec<_> = worker
-                .attempts
-                .keys()
-                .filter(|attempt| !before.contains(attempt))
-                .copied()
-                .collect();
-            (answer, started)
+            worker.handle_command_copy(now, &body, &jobs, &mut events)
         };
-        if answer.is_none_or(|(status, _)| status != 200) {
+        if !outcome.accepted {
             region.context.copies.count(CopiedRequest::RefusedCommand);
         }
         self.record_events(&region, &events);
         self.wake.notify_one();
         let machine = (region.index, self.machine);
         let mut checker = region.context.checker.lock();
-        for (task, attempt) in started {
+        for (task, attempt) in outcome.started {
             checker.attempt_started_by_copy(now, machine, task, attempt);
         }
     }
--- a/tests/runner/delivery.rs
+++ b/tests/runner/delivery.rs
@@ -136,6 +136,10 @@
             node.deferred_messages.push(message);
             return;
         }
+        // A call is copied once its callee has answered it.
+        if !matches!(message, Message::Request { .. }) {
+            self.copy_late(&message);
+        }
         match message {
             Message::Request {
                 node,
@@ -164,7 +168,6 @@
                 body,
             } => self.handle_heartbeat_reply(machine, sent, incarnation, status, &body),
             Message::UserRequest { node, user } => {
-                self.copy_late(&Message::UserRequest { node, user });
                 self.receive_user_request(node, user, Some(self.users[user].attempt));
             }
             Message::UserReply {
@@ -178,10 +181,6 @@
                 }
             }
             Message::Hint { node, hint } => {
-                self.copy_late(&Message::Hint {
-                    node,
-                    hint: hint.clone(),
-                });
                 self.handle_event(node, Event::Peer(hint));
             }
         }
@@ -231,12 +230,6 @@
 
     /// A worker's heartbeat has arrived at a controller.
     fn receive_heartbeat(&mut self, machine: u64, node: usize, sent: u64, body: Vec<u8>) {
-        self.copy_late(&Message::Heartbeat {
-            machine,
-            node,
-            sent,
-            body: body.clone(),
-        });
         let heartbeat = Heartbeat::parse(&body).expect("a heartbeat");
         let incarnation = heartbeat.incarnation();
         let Some(response) = self.handle_event(node, Event::Heartbeat(CallId(0), heartbeat)) else {
--- a/tests/runner/late_copies.rs
+++ b/tests/runner/late_copies.rs
@@ -121,6 +121,9 @@
 
     /// Delivers a copy. Nobody waits for its response.
     pub(super) fn deliver_late_copy(&mut self, message: Message) {
+        if let Some(until) = self.machine_stalled_until(&message) {
+            return self.schedule(until + 2_000, SimEvent::LateCopy(Box::new(message)));
+        }
         if let Some(kind) = self.copied_kind(&message) {
             self.count_fault(kind.counter());
         }
@@ -160,43 +163,41 @@
             Outbound::Cloud(request) => {
                 self.carry_out_cloud_request(&request);
             }
-            Outbound::PushCommand(machine, body) => self.carry_out_command_again(machine, body),
+            Outbound::PushCommand(machine, body) => self.carry_out_command_again(machine, &body),
         }
     }
 
     /// Delivers a copy of a pushed command, and checks that it starts nothing.
-    fn carry_out_command_again(&mut self, machine: u64, body: Vec<u8>) {
-        let Some(worker) = self.workers.get(&machine) else {
+    fn carry_out_command_again(&mut self, machine: u64, body: &[u8]) {
+        let Some(worker) = self.workers.get_mut(&machine) else {
             return;
         };
-        if self.now < worker.stalled_until {
-            let outbound = Outbound::PushCommand(machine, body);
-            let copy = Message::Request {
-                node: usize::MAX,
-                incarnation: 0,
-                call: cometlead::coordination::CallId(0),
-                outbound,
-            };
-            let at = worker.stalled_until + 2_000;
-            return self.schedule(at, SimEvent::LateCopy(Box::new(copy)));
-        }
-        let before: Vec<_> = worker.attempts.keys().copied().collect();
         let mut task_events = Vec::new();
-        let response = self.deliver_command(machine, &body, &mut task_events);
-        self.count_fault(match response {
-            Some((200, _)) => "copies-accepted",
-            _ => "copies-refused",
+        let outcome = worker.handle_command_copy(self.now, body, &self.jobs, &mut task_events);
+        let next = worker.next_deadline();
+        self.schedule(next, SimEvent::WorkerDeadline(machine));
+        self.count_fault(if outcome.accepted {
+            "copies-accepted"
+        } else {
+            "copies-refused"
         });
         self.record_task_events(machine, task_events);
-        let started: Vec<_> = self.workers[&machine]
-            .attempts
-            .keys()
-            .filter(|attempt| !before.contains(attempt))
-            .copied()
-            .collect();
-        for (task, attempt) in started {
+        for (task, attempt) in outcome.started {
             self.checker
                 .record_start_by_copy(self.now, machine, task, attempt);
         }
     }
+
+    /// When a hanging machine continues to which this message goes.
+    fn machine_stalled_until(&self, message: &Message) -> Option<u64> {
+        let Message::Request {
+            outbound: Outbound::PushCommand(machine, _),
+            ..
+        } = message
+        else {
+            return None;
+        };
+        let stalled_until = self.workers.get(machine)?.stalled_until;
+        (self.now < stalled_until).then_some(stalled_until)
+    }
 }
