--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,8 +1,10 @@
 //! Stand-ins and drivers of the cases of the second review: `review-standins-2 CASE ROOT FOLDER`.
 
 mod fakes;
+mod names;
 mod queues;
 mod retry;
+mod small;
 mod world;
 
 use retry::Mode;
@@ -30,6 +32,8 @@
     std::fs::create_dir_all(&temporary).expect("a temporary folder");
     let outcome = match case.as_str() {
         "queues" => queues::run(root, record, temporary.clone(), trouble).await,
+        "names" => names::run(root, record, temporary.clone(), trouble).await,
+        "small" => small::run(root, record, temporary.clone(), trouble).await,
         "awaits" => retry::run(root, record, temporary.clone(), trouble, Mode::Awaits).await,
         "limits" => retry::run(root, record, temporary.clone(), trouble, Mode::Limits).await,
         _ => Outcome::CouldNotRun("no such case".to_owned()),
--- a/review/standins-2/src/retry.rs
+++ b/review/standins-2/src/retry.rs
@@ -68,7 +68,7 @@
 /// How long users repeat a submission.
 const REPEATED_FOR: Duration = Duration::from_secs(60);
 
-fn name(job: u64) -> String {
+pub fn name(job: u64) -> String {
     format!("req-{job:06}")
 }
 
@@ -82,7 +82,7 @@
 }
 
 /// Sends a request as a user does: again after a second on 503 or without an answer, for up to 40 s.
-async fn insist(world: &World, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
+pub async fn insist(world: &World, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
     let until = Instant::now() + Duration::from_secs(40);
     let mut node = 0;
     while Instant::now() < until {
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -15,7 +15,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -79,6 +79,9 @@
     pub nodes: Vec<(SocketAddrV4, SocketAddrV4)>,
     controllers: Mutex<Vec<Option<Child>>>,
     run: Vec<String>,
+    /// Whether tasks are counted in the record instead of being named one by one.
+    quiet: AtomicBool,
+    task_events: Mutex<BTreeMap<(u64, String), u64>>,
 }
 
 /// A number from 0 (inclusive) to 1 (exclusive).
@@ -151,6 +154,8 @@
                 .collect(),
             controllers: Mutex::new((0..nodes).map(|_| None).collect()),
             run,
+            quiet: AtomicBool::new(false),
+            task_events: Mutex::default(),
             figures,
         });
         let w = Arc::clone(&world);
@@ -177,6 +182,23 @@
         world
     }
 
+    /// From now on tasks are counted: a line with all counts every two seconds.
+    pub fn quiet(self: &Arc<Self>) {
+        self.quiet.store(true, Ordering::Relaxed);
+        let world = Arc::clone(self);
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_secs(2)).await;
+                let counts = std::mem::take(&mut *world.task_events.lock().unwrap());
+                let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
+                for ((_, kind), count) in &counts {
+                    *sums.entry(kind).or_default() += count;
+                }
+                world.record.line(format!("tasks in two seconds: {sums:?}"));
+            }
+        });
+    }
+
     pub fn now(&self) -> u64 {
         self.started.elapsed().as_micros() as u64
     }
@@ -253,6 +275,17 @@
     }
 
     fn log_events(&self, machine: u64, events: &[TaskEvent]) {
+        if self.quiet.load(Ordering::Relaxed) {
+            let mut counts = self.task_events.lock().unwrap();
+            for event in events {
+                let kind = match event {
+                    TaskEvent::Started(_) => "started",
+                    TaskEvent::Ended(_, cause) => cause,
+                };
+                *counts.entry((machine, kind.to_owned())).or_default() += 1;
+            }
+            return;
+        }
         for event in events {
             self.record.line(format!("machine {machine}: {event:?}"));
         }
@@ -328,6 +361,7 @@
                 .filter(|(at, c)| *at == node && c.is_open())
                 .map(|(_, c)| c);
             let address = self.nodes[node].0;
+            let bytes = body.len();
             let exchange = async {
                 let mut connection = match connection {
                     Some(connection) => connection,
@@ -345,6 +379,12 @@
                 let redirect = match result {
                     Ok(Ok((connection, answer))) => {
                         open = Some((node, connection));
+                        if answer.status != 200 && answer.status != 421 {
+                            self.record.line(format!(
+                                "machine {machine} reports to n{node}, {bytes} bytes => {}",
+                                answer.status
+                            ));
+                        }
                         let message = (answer.status, &answer.body[..]);
                         worker.handle_answer(
                             self.now(),
