--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,8 +8,9 @@
 mod world;
 
 use retry::Mode;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// How a case ended.
 pub enum Outcome {
@@ -18,6 +19,29 @@
     CouldNotRun(String),
 }
 
+/// How long a case may take.
+const LIMIT: Duration = Duration::from_secs(118);
+
+async fn play(
+    case: String,
+    root: PathBuf,
+    folder: PathBuf,
+    temporary: PathBuf,
+    trouble: bool,
+) -> Outcome {
+    let record = world::Record::create(&folder.join("record.txt"));
+    std::fs::create_dir_all(&temporary).expect("a temporary folder");
+    let root = root.as_path();
+    match case.as_str() {
+        "queues" => queues::run(root, record, temporary, trouble).await,
+        "small" => small::run(root, record, temporary, trouble).await,
+        "names" => names::run(root, record, temporary, trouble).await,
+        "limits" => retry::run(root, record, temporary, trouble, Mode::Limits).await,
+        "awaits" => retry::run(root, record, temporary, trouble, Mode::Awaits).await,
+        _ => Outcome::CouldNotRun("no such case".to_owned()),
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
@@ -26,18 +50,15 @@
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let (root, folder) = (Path::new(root), PathBuf::from(folder));
-    let record = world::Record::create(&folder.join("record.txt"));
+    let (case, root, folder) = (case.clone(), PathBuf::from(root), PathBuf::from(folder));
     let temporary = std::env::temp_dir().join(format!("cometlead-review-{}", std::process::id()));
-    std::fs::create_dir_all(&temporary).expect("a temporary folder");
-    let outcome = match case.as_str() {
-        "queues" => queues::run(root, record, temporary.clone(), trouble).await,
-        "names" => names::run(root, record, temporary.clone(), trouble).await,
-        "small" => small::run(root, record, temporary.clone(), trouble).await,
-        "awaits" => retry::run(root, record, temporary.clone(), trouble, Mode::Awaits).await,
-        "limits" => retry::run(root, record, temporary.clone(), trouble, Mode::Limits).await,
-        _ => Outcome::CouldNotRun("no such case".to_owned()),
+    let playing = tokio::spawn(play(case, root, folder, temporary.clone(), trouble));
+    let outcome = match tokio::time::timeout(LIMIT, playing).await {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(error)) => Outcome::CouldNotRun(error.to_string()),
+        Err(_) => Outcome::CouldNotRun("it took too long".to_owned()),
     };
+    world::end_leftovers();
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&temporary);
     }
--- a/review/standins-2/src/queues.rs
+++ b/review/standins-2/src/queues.rs
@@ -2,7 +2,7 @@
 
 use crate::Outcome;
 use crate::fakes::amqp_server::{AMQPProperties, AmqpServer};
-use crate::world::{Figures, Record, World};
+use crate::world::{Figures, Record, World, end, note_started};
 use cometlead_emulator::fakes::cloud::TypeSpec;
 use cometlead_emulator::fakes::worker::JobInfo;
 use serde_json::{Value, json};
@@ -73,15 +73,13 @@
                 .stderr(log)
                 .spawn()
                 .expect("a front end");
+            note_started(&child);
             self.children.push(child);
         }
     }
 
     fn kill(&mut self) {
-        for mut child in self.children.drain(..) {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.children.drain(..).for_each(end);
     }
 }
 
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -9,7 +9,7 @@
 };
 use cometlead_emulator::http::{Answer, Connection, IncomingRequest, NoAnswer, Traffic, serve};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fs::File;
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -42,6 +42,30 @@
     }
 }
 
+/// Processes that this one has started and not ended yet.
+static STARTED: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+/// Notes a process that has to be ended.
+pub fn note_started(child: &Child) {
+    STARTED.lock().unwrap().insert(child.id());
+}
+
+/// Ends a process.
+pub fn end(mut child: Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    STARTED.lock().unwrap().remove(&child.id());
+}
+
+/// Ends what a case has left because it failed on its way.
+pub fn end_leftovers() {
+    for id in std::mem::take(&mut *STARTED.lock().unwrap()) {
+        let _ = Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
+    }
+}
+
 /// The deployment's figures.
 #[derive(Clone)]
 pub struct Figures {
@@ -370,8 +394,25 @@
                 let answer = connection.call("POST", "/v1/report", body.into()).await?;
                 Ok::<_, NoAnswer>((connection, answer))
             };
-            let result =
-                tokio::time::timeout(Duration::from_micros(REPORT_TIMEOUT_US), exchange).await;
+            let exchange = tokio::time::timeout(Duration::from_micros(REPORT_TIMEOUT_US), exchange);
+            tokio::pin!(exchange);
+            // While it waits, the lease may run out and tasks go on.
+            let result = loop {
+                tokio::select! {
+                    result = &mut exchange => break result,
+                    () = tokio::time::sleep(Duration::from_millis(20)) => {
+                        let mut events = Vec::new();
+                        {
+                            let now = self.now();
+                            let jobs = self.jobs.lock().unwrap();
+                            let mut worker = worker.lock().unwrap();
+                            worker.check_lease(now, &mut events);
+                            worker.advance(now, &jobs, &mut events);
+                        }
+                        self.log_events(machine, &events);
+                    }
+                }
+            };
             let mut events = Vec::new();
             {
                 let jobs = self.jobs.lock().unwrap();
@@ -455,6 +496,7 @@
             .stderr(log)
             .spawn()
             .expect("a controller");
+        note_started(&child);
         self.record.line(format!(
             "controller n{node} started, next limits: {}",
             next.unwrap_or(&Value::Null)
@@ -463,9 +505,8 @@
     }
 
     pub fn kill_controller(&self, node: usize) {
-        if let Some(mut child) = self.controllers.lock().unwrap()[node].take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        if let Some(child) = self.controllers.lock().unwrap()[node].take() {
+            end(child);
             self.record.line(format!("controller n{node} killed"));
         }
     }
