--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 root="$(cd "$here/../.." && pwd)"
 driver="$root/review/standins-2/target/release/review-standins-2"
 [ -x "$driver" ] && [ -x "$root/target/release/cometlead" ] || { echo "not built"; exit 2; }
-exec "$driver" limits "$root" "$here"
+exec "$driver" awaits "$root" "$here"
