A large array with long names can be cancelled and finished under lower limits

Cause: each change of a job writes its whole record. The completion bitmap of the first 8,192 tasks (1,366 bytes) had grown within the limits at submission; with the names the record had more than the 2 KiB of the lower limits, and what could be dropped from it, the awaited jobs, was not what made it long.

A cancelled job's record loses what it needs no more until it fits the limits that are or will be in force: awaited jobs, bitmap (its count stays), rules and machine types, and last its names. Earlier versions read it as any other. For a job that runs, the bitmap of the first chunk gets a record of its own, c/job/ID/0, like those of further chunks, once the job's record could outgrow a value; a complete first chunk is one bit. Earlier versions would run its tasks again, so this is record format 7 (8 with rules), raised once every controller understands it; nothing changes before. A mixture of versions in which some controllers have rules no longer raises the format to one with rules by a controller that does not aim for it.

Why it works: what is left of a running job's record is what a submission under the lower limits would be compared with; what is left of a cancelled one does not depend on any text but the team's name. What a first submission does is unchanged.

--- a/src/coordination/api/cancellations.rs
+++ b/src/coordination/api/cancellations.rs
@@ -58,20 +58,11 @@
         self.send_state_request(Purpose::Cancel(request), StateRequest::Transaction(txn));
     }
 
-    /// The record of a job, marked as cancelled. A record that the state store would not accept, since it was written under
-    /// larger limits, loses the dependencies: a cancelled job does not wait for them any more.
+    /// The record of a job, marked as cancelled, and small enough for the limits that are or will be in force.
     fn cancelled_record(&self, job: &Job) -> JobRecord {
-        let mut record = JobRecord {
-            cancelled: true,
-            ..job
-                .record
-                .clone()
-                .with_compact_encoding(self.cell.uses_compact_encoding())
-        };
-        let bytes = encode(&record).map_or(0, |value| value.get().len());
-        if bytes > self.limits.stored_value_bytes() {
-            record.drop_dependencies();
-        }
+        let compact_encoding = self.cell.uses_compact_encoding();
+        let mut record = job.record.clone().with_compact_encoding(compact_encoding);
+        record.cancel_within(self.limits.value_bytes(), &job.recorded_finished_tasks);
         record
     }
 
--- a/src/coordination/api/submissions.rs
+++ b/src/coordination/api/submissions.rs
@@ -67,7 +67,7 @@
             let record = self.new_record(spec, request.arrived_day);
             let value = encode(&record.with_compact_encoding(self.cell.uses_compact_encoding()));
             let size = value.as_ref().map_or(0, |value| value.get().len());
-            if size + growth_reserve(spec) > self.limits.value_bytes() {
+            if size + spec.max_growth_bytes() > self.limits.value_bytes() {
                 self.respond(&request, UserResponse::Invalid("too large".into()));
                 continue;
             }
@@ -97,16 +97,7 @@
             // all types would be allowed.
             allowed.retain(|name| catalog.get(name).is_some());
         }
-        JobRecord {
-            spec,
-            submitted,
-            cancelled: false,
-            finished: Default::default(),
-            finished_in_chunks: 0,
-            complete_chunks: 0,
-            failures: 0,
-            failed_machines: Vec::new(),
-        }
+        JobRecord::new(spec, submitted)
     }
 
     pub(in crate::coordination) fn on_submissions_result(
@@ -207,11 +198,3 @@
         }
     }
 }
-
-/// Number of bytes by which a job's record may grow: the completion bitmap and the machines to avoid.
-fn growth_reserve(spec: &JobSpec) -> usize {
-    const MAX_BITMAP_BYTES: usize = 1_600;
-    const TASKS_PER_BYTE: usize = 4;
-    const AVOIDED_MACHINES_BYTES: usize = 200;
-    MAX_BITMAP_BYTES.min(spec.task_count as usize / TASKS_PER_BYTE + AVOIDED_MACHINES_BYTES)
-}
--- a/src/coordination/commit/transaction/edits.rs
+++ b/src/coordination/commit/transaction/edits.rs
@@ -3,7 +3,7 @@
 use super::limits::{IMAGES_KEPT_BY_PRUNING, SPARE_BYTES};
 use crate::protocol::state::encode;
 use crate::storage::cell_state::Job;
-use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
+use crate::storage::completion_bitmap::{CompletionBitmap, FIRST_CHUNK, TASKS_PER_CHUNK};
 use crate::storage::job::{FinalRecord, JobRecord};
 use crate::storage::records::{GroupRecord, UsageRecord};
 use std::collections::BTreeMap;
@@ -90,6 +90,8 @@
     pub ended: Option<FinalRecord>,
     /// Upper bound of the record's bytes, whatever is edited.
     pub max_bytes: usize,
+    /// Whether the completions of the first chunk go into a record of their own.
+    detached_chunk: bool,
 }
 
 impl JobEdit {
@@ -100,6 +102,20 @@
             chunks: BTreeMap::new(),
             ended: None,
             max_bytes,
+            detached_chunk: false,
+        }
+    }
+
+    /// Moves the completions of the first chunk from the job's record to one of their own. `job`: the job as it was before
+    /// the transaction.
+    pub fn detach_first_chunk(&mut self, job: &Job) {
+        self.detached_chunk = true;
+        if self.record.finished.is_empty() {
+            return;
+        }
+        let first_chunk = self.record.detach_first_chunk();
+        if !self.record.is_chunk_complete(FIRST_CHUNK) {
+            self.chunk_mut(FIRST_CHUNK, job).merge(&first_chunk);
         }
     }
 
@@ -117,32 +133,41 @@
         }
     }
 
+    /// Whether the completions of a chunk go into a record of their own.
+    pub fn keeps_apart(&self, chunk_index: u32) -> bool {
+        chunk_index != FIRST_CHUNK || self.detached_chunk
+    }
+
     /// Marks a task as completed. `job`: the job as it was before the transaction.
     pub fn complete(&mut self, index: u32, job: &Job) {
         let chunk_index = index / TASKS_PER_CHUNK;
-        if chunk_index == 0 {
+        if !self.keeps_apart(chunk_index) {
             self.record.finished.insert(index);
-        } else if self.record.complete_chunks >> chunk_index & 1 == 0 {
+        } else if !self.record.is_chunk_complete(chunk_index) {
             self.complete_in_chunk(chunk_index, index % TASKS_PER_CHUNK, job);
         }
     }
 
-    /// Marks a task as completed in a chunk other than the first. A complete chunk needs no record, so
+    /// Marks a task as completed in a chunk that has a record of its own. A complete chunk needs no record, so
     /// that the end of a large job is a small change.
     fn complete_in_chunk(&mut self, chunk_index: u32, index: u32, job: &Job) {
-        let chunk = self.chunks.entry(chunk_index).or_insert_with(|| {
+        let chunk = self.chunk_mut(chunk_index, job);
+        let is_new = chunk.insert(index);
+        let count = chunk.count();
+        if is_new {
+            self.record.finished_in_chunks += 1;
+            if count == self.record.spec.tasks_in_chunk(chunk_index) {
+                self.record.set_chunk_complete(chunk_index);
+            }
+        }
+    }
+
+    fn chunk_mut(&mut self, chunk_index: u32, job: &Job) -> &mut CompletionBitmap {
+        self.chunks.entry(chunk_index).or_insert_with(|| {
             job.chunks
                 .get(&chunk_index)
                 .map(|chunk| chunk.value.clone())
                 .unwrap_or_default()
-        });
-        if chunk.insert(index) {
-            self.record.finished_in_chunks += 1;
-            let size =
-                TASKS_PER_CHUNK.min(self.record.spec.task_count - chunk_index * TASKS_PER_CHUNK);
-            if chunk.count() == size {
-                self.record.complete_chunks |= 1 << chunk_index;
-            }
-        }
+        })
     }
 }
--- a/src/coordination/commit/transaction/limits/tests.rs
+++ b/src/coordination/commit/transaction/limits/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of what the state store would refuse for the size of a transaction.
 
+mod detached_chunk;
+
 use super::super::edits::size_of;
 use super::super::tests::{apply, machine, replica_of};
 use super::{MAX_TRANSACTION_BYTES, TransactionLimits};
@@ -28,6 +30,15 @@
     }
 }
 
+fn lower_limits() -> TransactionLimits {
+    TransactionLimits {
+        value_bytes: LOWER_VALUE_BYTES,
+        stored_value_bytes: LOWER_VALUE_BYTES,
+        group_bytes: LOWER_VALUE_BYTES,
+        ..limits(4)
+    }
+}
+
 fn insert(cell: &mut CellState, key: Key, content: Content) {
     let change = Change {
         key,
@@ -183,13 +194,7 @@
 }
 
 fn release(cell: &CellState, outcome: AssignmentOutcome) -> PlannedTransaction {
-    let lower_limits = TransactionLimits {
-        value_bytes: LOWER_VALUE_BYTES,
-        stored_value_bytes: LOWER_VALUE_BYTES,
-        group_bytes: LOWER_VALUE_BYTES,
-        ..limits(4)
-    };
-    let mut transaction = TransactionBuilder::new(cell, lower_limits);
+    let mut transaction = TransactionBuilder::new(cell, lower_limits());
     assert!(transaction.release(MachineId(1), attempt(OVERSIZED.0), outcome, 0));
     let planned = transaction.build();
     let largest = planned.txn.largest_value_bytes();
--- a/src/coordination/commit/transaction/mod.rs
+++ b/src/coordination/commit/transaction/mod.rs
@@ -71,6 +71,8 @@
     bytes: usize,
     /// Whether every controller reads the compact encoding of records.
     compact_encoding: bool,
+    /// Whether every controller reads a record of the first chunk of a completion bitmap.
+    detached_chunk_allowed: bool,
     /// Whether the usage of teams follows from the machine groups alone, see [`CellState::is_fenced`].
     usage_from_groups: bool,
     term_update: Option<TermUpdate>,
@@ -104,6 +106,7 @@
             groups_without_room: BTreeSet::new(),
             bytes: 0,
             compact_encoding: cell.uses_compact_encoding(),
+            detached_chunk_allowed: cell.allows_detached_chunk(),
             usage_from_groups: cell.is_fenced(),
             term_update: None,
         }
--- a/src/coordination/commit/transaction/output.rs
+++ b/src/coordination/commit/transaction/output.rs
@@ -60,7 +60,7 @@
         for (index, mut chunk) in edit.chunks {
             chunk.set_compact_encoding(compact_encoding);
             let key = Key::Chunk(id, index);
-            let is_complete = edit.record.complete_chunks >> index & 1 == 1;
+            let is_complete = edit.record.is_chunk_complete(index);
             let exists = self.cell.mod_revision(&key) > 0;
             if !is_complete {
                 self.put(key, Some(Content::Chunk(chunk)));
--- a/src/coordination/commit/transaction/releases.rs
+++ b/src/coordination/commit/transaction/releases.rs
@@ -6,7 +6,7 @@
 use super::{GroupId, TransactionBuilder};
 use crate::coordination::agents::AssignmentOutcome;
 use crate::storage::cell_state::Job;
-use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
+use crate::storage::completion_bitmap::{CompletionBitmap, FIRST_CHUNK, TASKS_PER_CHUNK};
 use crate::storage::ids::{Attempt, JobId, MachineId, ShardId, TaskId};
 use crate::storage::job::FinalRecord;
 use crate::storage::records::{Assignment, Key};
@@ -234,7 +234,14 @@
         let id = attempt.task.job;
         let edit = self.jobs.get(&id);
         let chunk = attempt.task.index / TASKS_PER_CHUNK;
-        let opens_chunk = chunk > 0 && edit.is_none_or(|edit| !edit.chunks.contains_key(&chunk));
+        let opens_chunk = match edit {
+            Some(edit) => edit.keeps_apart(chunk) && !edit.chunks.contains_key(&chunk),
+            // Opening the job's record may open its first chunk already.
+            None if chunk == FIRST_CHUNK => {
+                self.detaches_first_chunk(job) && !self.writes_detached_chunk(job)
+            }
+            None => true,
+        };
         let completed = edit.map_or_else(
             || {
                 let ends = self.ends_in_usage(id, job);
--- a/src/coordination/commit/transaction/required_records.rs
+++ b/src/coordination/commit/transaction/required_records.rs
@@ -1,10 +1,10 @@
 //! The records that an edit requires. They are opened only if the whole edit is within the limits.
 
 use super::edits::{GroupEdit, JobEdit, UsageEdit, size_of};
-use super::limits::max_values_bytes;
+use super::limits::{MAX_JOB_TASKS_IN_USAGE, max_values_bytes};
 use super::{GroupId, TransactionBuilder};
 use crate::storage::cell_state::Job;
-use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
+use crate::storage::completion_bitmap::{CompletionBitmap, FIRST_CHUNK, TASKS_PER_CHUNK};
 use crate::storage::ids::{JobId, ShardId};
 use crate::storage::job::{JobRecord, JobSpec};
 use crate::storage::records::{GroupRecord, Key};
@@ -166,7 +166,7 @@
         {
             missing.changes += need.more_changes;
             if !self.jobs.contains_key(&need.id) {
-                missing.changes += 1;
+                missing.changes += 1 + usize::from(self.writes_detached_chunk(job));
                 missing.job_bytes = max_job_edit_bytes(job);
             }
         }
@@ -262,7 +262,36 @@
             }
         }
         let max_bytes = max_job_record_bytes(&record);
-        JobEdit::new(record, max_bytes)
+        let mut edit = JobEdit::new(record, max_bytes);
+        if self.detaches_first_chunk(job) {
+            edit.detach_first_chunk(job);
+        }
+        edit
+    }
+
+    /// Whether the completions of a job's first chunk go into a record of their own: they do from the time on when the
+    /// job's own record could become larger than a value may be. That happens only if it was written under larger limits.
+    pub(super) fn detaches_first_chunk(&self, job: &Job) -> bool {
+        job.has_detached_chunk()
+            || self.detached_chunk_allowed
+                && job.spec().task_count > MAX_JOB_TASKS_IN_USAGE
+                && job.recorded_finished_tasks.is_empty()
+                && self.may_outgrow_limits(job)
+    }
+
+    /// Whether a job's record may become larger than a value may be.
+    fn may_outgrow_limits(&self, job: &Job) -> bool {
+        let initial = JobRecord::new(job.spec().clone(), job.record.submitted);
+        size_of(&initial) + job.spec().max_growth_bytes() > self.limits.value_bytes
+    }
+
+    /// Whether opening a job's record takes a further change, since the first chunk of its bitmap moves to a record of its
+    /// own. A complete chunk needs none.
+    pub(super) fn writes_detached_chunk(&self, job: &Job) -> bool {
+        let finished = job.record.finished.count();
+        finished > 0
+            && finished < job.spec().tasks_in_chunk(FIRST_CHUNK)
+            && self.detaches_first_chunk(job)
     }
 
     /// Whether the store accepts a job's record after this change of it. A record may be too large if it
--- a/src/coordination/constraints/mod.rs
+++ b/src/coordination/constraints/mod.rs
@@ -21,7 +21,7 @@
 use crate::storage::ids::{JobId, MachineId, TaskId};
 use crate::storage::machine_classes::ClassId;
 use crate::storage::records::{
-    Assignment, FENCED_FORMAT, FENCED_RULES_FORMAT, MachineRecord, format_has_rules,
+    Assignment, LATEST_FORMAT, LATEST_FORMAT_WITHOUT_RULES, MachineRecord, format_has_rules,
 };
 use crate::time::Micros;
 use cometlead_constraints::RuleSet;
@@ -142,9 +142,9 @@
     pub(super) fn target_format(&self) -> u32 {
         let uses_rules = self.rules.own.is_some() || self.enforces_rules();
         let required = if uses_rules {
-            FENCED_RULES_FORMAT
+            LATEST_FORMAT
         } else {
-            FENCED_FORMAT
+            LATEST_FORMAT_WITHOUT_RULES
         };
         self.record_format
             .min(required.max(self.cell.record_format()))
--- a/src/coordination/leadership/format_upgrade.rs
+++ b/src/coordination/leadership/format_upgrade.rs
@@ -70,9 +70,11 @@
         let waiting = self.controllers_without(target);
         let common = self.common_format().min(target);
         self.leadership.format_upgrade.report_waiting(waiting);
-        // An upgrade that would turn rules off waits for the controllers that have not registered since rules were turned on.
+        // An upgrade that would turn rules off waits for the controllers that have not registered since rules were turned on,
+        // and one that would turn them on waits until this controller aims for that too.
         let drops_rules = format_has_rules(metadata.record_format) && !format_has_rules(common);
-        if common <= metadata.record_format || drops_rules {
+        let adds_rules = format_has_rules(common) && !format_has_rules(target);
+        if common <= metadata.record_format || drops_rules || adds_rules {
             return;
         }
         let record = MetaRecord {
--- a/src/storage/cell_state/queries.rs
+++ b/src/storage/cell_state/queries.rs
@@ -65,6 +65,12 @@
         self.known_format().is_fenced()
     }
 
+    /// Whether the first chunk of a job's completion bitmap may have a record of its own; see
+    /// [`RecordFormat::DetachedChunk`].
+    pub fn allows_detached_chunk(&self) -> bool {
+        self.known_format().has_detached_chunk()
+    }
+
     /// Whether the stored records are in a format that a controller which can read formats up to `max_readable_format`
     /// cannot read. Such a controller must not write them.
     pub fn is_format_unsupported(&self, max_readable_format: u32) -> bool {
--- a/src/storage/completion_bitmap.rs
+++ b/src/storage/completion_bitmap.rs
@@ -15,6 +15,9 @@
 /// Number of tasks in one chunk: 8,192 bits are 2 KiB in the plain encoding, 1.3 KiB in the compact one.
 pub const TASKS_PER_CHUNK: u32 = 8_192;
 
+/// Number of the chunk that the job's own record has, unless it is detached.
+pub const FIRST_CHUNK: u32 = 0;
+
 /// First character of the compact encoding; it is no hexadecimal digit.
 const COMPACT_PREFIX: char = '=';
 
--- a/src/storage/job.rs
+++ b/src/storage/job.rs
@@ -1,7 +1,7 @@
 //! Jobs: what their users request, and their records.
 
 use crate::storage::catalog::MachineType;
-use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
+use crate::storage::completion_bitmap::{CompletionBitmap, FIRST_CHUNK, TASKS_PER_CHUNK};
 use crate::storage::ids::{JobId, MachineId};
 use crate::storage::resources::{Amount, is_zero};
 use crate::time::Micros;
@@ -151,6 +151,22 @@
     pub fn extra_chunks(&self) -> u32 {
         self.task_count.saturating_sub(1) / TASKS_PER_CHUNK
     }
+
+    /// Number of tasks in a chunk of the job's completion bitmap.
+    pub fn tasks_in_chunk(&self, chunk: u32) -> u32 {
+        let first_task = chunk * TASKS_PER_CHUNK;
+        self.task_count
+            .saturating_sub(first_task)
+            .min(TASKS_PER_CHUNK)
+    }
+
+    /// Number of bytes by which the job's record may grow: the completion bitmap, counters and the machines to avoid.
+    pub fn max_growth_bytes(&self) -> usize {
+        const MAX_BITMAP_BYTES: usize = 1_600;
+        const TASKS_PER_BYTE: usize = 4;
+        const AVOIDED_MACHINES_BYTES: usize = 200;
+        MAX_BITMAP_BYTES.min(self.task_count as usize / TASKS_PER_BYTE + AVOIDED_MACHINES_BYTES)
+    }
 }
 
 /// The record of a live job.
@@ -172,10 +188,11 @@
         skip_serializing_if = "CompletionBitmap::is_empty"
     )]
     pub finished: CompletionBitmap,
-    /// Number of finished tasks in all further chunks together.
+    /// Number of finished tasks in all further chunks together, and in the first one if it is detached.
     #[serde(rename = "m", default, skip_serializing_if = "is_zero_count")]
     pub finished_in_chunks: u32,
-    /// Further chunks of which all tasks are finished, as a bitmap by chunk number; they no longer have records.
+    /// Further chunks of which all tasks are finished, as a bitmap by chunk number; they no longer have records. The first
+    /// chunk is among them only if it is detached.
     #[serde(rename = "c", default, skip_serializing_if = "is_zero_count")]
     pub complete_chunks: u32,
     /// Number of failures of its tasks.
@@ -192,6 +209,40 @@
         self.finished.count() + self.finished_in_chunks
     }
 
+    /// The record of a job that was just submitted.
+    pub fn new(spec: JobSpec, submitted: Micros) -> JobRecord {
+        JobRecord {
+            spec,
+            submitted,
+            cancelled: false,
+            finished: CompletionBitmap::default(),
+            finished_in_chunks: 0,
+            complete_chunks: 0,
+            failures: 0,
+            failed_machines: Vec::new(),
+        }
+    }
+
+    /// Whether a chunk that has no place in this record is complete.
+    pub fn is_chunk_complete(&self, chunk: u32) -> bool {
+        self.complete_chunks >> chunk & 1 == 1
+    }
+
+    /// Marks a chunk that has no place in this record as complete.
+    pub fn set_chunk_complete(&mut self, chunk: u32) {
+        self.complete_chunks |= 1 << chunk;
+    }
+
+    /// Takes the completions of the first chunk out of the record; they are counted like those of further chunks.
+    pub fn detach_first_chunk(&mut self) -> CompletionBitmap {
+        let first_chunk = std::mem::take(&mut self.finished);
+        self.finished_in_chunks += first_chunk.count();
+        if first_chunk.count() == self.spec.tasks_in_chunk(FIRST_CHUNK) {
+            self.set_chunk_complete(FIRST_CHUNK);
+        }
+        first_chunk
+    }
+
     /// The same record; `compact_encoding`: whether its completion bitmap is to be written in the compact encoding.
     pub fn with_compact_encoding(mut self, compact_encoding: bool) -> JobRecord {
         self.finished.set_compact_encoding(compact_encoding);
@@ -204,6 +255,45 @@
         self.spec.dependencies = Vec::new();
     }
 
+    /// Marks the job as cancelled. A record that would have more than `max_bytes`, since it was written under larger limits,
+    /// loses what a cancelled job needs no more, one part after the other until it fits: the names by which placement rules
+    /// know its tasks that still run go last. `recorded_elsewhere`: the finished tasks that other records have.
+    pub fn cancel_within(&mut self, max_bytes: usize, recorded_elsewhere: &CompletionBitmap) {
+        self.cancelled = true;
+        let stored_bytes = |record: &JobRecord| {
+            let value = serde_json::to_string(record);
+            value.map_or(0, |value| value.len())
+        };
+        let reductions: [&dyn Fn(&mut JobRecord); 5] = [
+            &JobRecord::drop_dependencies,
+            &|record| record.count_finished_tasks(recorded_elsewhere),
+            &JobRecord::drop_placement,
+            &|record| record.spec.image.clear(),
+            &|record| record.spec.job_class.clear(),
+        ];
+        for reduce in reductions {
+            if stored_bytes(self) <= max_bytes {
+                return;
+            }
+            reduce(self);
+        }
+    }
+
+    /// Replaces the completion bitmap by the number of its tasks. Only for a cancelled job, of which no task starts any more.
+    fn count_finished_tasks(&mut self, recorded_elsewhere: &CompletionBitmap) {
+        let finished = self.finished.union_count(recorded_elsewhere);
+        self.finished_in_chunks += finished - recorded_elsewhere.count();
+        self.finished = CompletionBitmap::default();
+    }
+
+    /// Drops what only matters for placing tasks of the job.
+    fn drop_placement(&mut self) {
+        self.spec.rules = Vec::new();
+        self.spec.machine_types = None;
+        self.spec.zone = None;
+        self.failed_machines = Vec::new();
+    }
+
     /// Largest number of machines that are recorded as having failed a task of the job.
     const MAX_FAILED_MACHINES: usize = 6;
 
@@ -231,3 +321,6 @@
     #[serde(rename = "t", default, skip_serializing_if = "is_zero_time")]
     pub ended_at: Micros,
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/storage/live_job.rs
+++ b/src/storage/live_job.rs
@@ -1,6 +1,6 @@
 //! Live jobs in the replica of the cell's state.
 
-use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
+use crate::storage::completion_bitmap::{CompletionBitmap, FIRST_CHUNK, TASKS_PER_CHUNK};
 use crate::storage::dependency_graph::DependencyState;
 use crate::storage::job::{JobRecord, JobSpec, Priority};
 use crate::time::Micros;
@@ -32,7 +32,7 @@
     pub record: JobRecord,
     /// The record's revision.
     pub mod_revision: u64,
-    /// Further chunks of the completion bitmap, by chunk number.
+    /// Chunks of the completion bitmap that have records of their own, by chunk number.
     pub chunks: BTreeMap<u32, Versioned<CompletionBitmap>>,
     /// Finished tasks in the shards' usage records, which the job's own record may not have yet.
     pub recorded_finished_tasks: CompletionBitmap,
@@ -74,10 +74,12 @@
     /// Whether the task with this number is finished.
     pub fn is_finished(&self, index: u32) -> bool {
         match index / TASKS_PER_CHUNK {
-            0 => {
-                self.record.finished.contains(index) || self.recorded_finished_tasks.contains(index)
+            0 if self.record.finished.contains(index)
+                || self.recorded_finished_tasks.contains(index) =>
+            {
+                true
             }
-            chunk if self.record.complete_chunks >> chunk & 1 == 1 => true,
+            chunk if self.record.is_chunk_complete(chunk) => true,
             chunk => self
                 .chunks
                 .get(&chunk)
@@ -85,6 +87,11 @@
         }
     }
 
+    /// Whether the completions of the first chunk are no longer in the job's own record, but in one of their own.
+    pub fn has_detached_chunk(&self) -> bool {
+        self.chunks.contains_key(&FIRST_CHUNK) || self.record.is_chunk_complete(FIRST_CHUNK)
+    }
+
     /// Whether the job itself rather than its machines seems to be the cause of its failures: its tasks failed on
     /// several machines, and more often than they finished. Since the replicas of a service never finish, a service is
     /// allowed as many failures as a job of which some tasks finished.
--- a/src/storage/records/format.rs
+++ b/src/storage/records/format.rs
@@ -23,16 +23,22 @@
     Fenced = 5,
     /// The same as [`RecordFormat::Fenced`], with rules.
     FencedRules = 6,
+    /// The first chunk of a job's completion bitmap may have a record of its own, like the further chunks. Without rules.
+    DetachedChunk = 7,
+    /// The same as [`RecordFormat::DetachedChunk`], with rules.
+    DetachedChunkRules = 8,
 }
 
 impl RecordFormat {
     /// All formats, oldest first.
-    const ALL: [RecordFormat; 5] = [
+    const ALL: [RecordFormat; 7] = [
         RecordFormat::Initial,
         RecordFormat::Compact,
         RecordFormat::CompactRules,
         RecordFormat::Fenced,
         RecordFormat::FencedRules,
+        RecordFormat::DetachedChunk,
+        RecordFormat::DetachedChunkRules,
     ];
 
     /// The number that stands for this format in the stored records.
@@ -69,17 +75,27 @@
 
     /// Whether records may have rules.
     pub fn has_rules(self) -> bool {
-        matches!(self, RecordFormat::CompactRules | RecordFormat::FencedRules)
+        matches!(
+            self,
+            RecordFormat::CompactRules
+                | RecordFormat::FencedRules
+                | RecordFormat::DetachedChunkRules
+        )
     }
 
     /// Whether only the shard's leader writes the shard's usage record; see [`RecordFormat::Fenced`].
     pub fn is_fenced(self) -> bool {
         self >= RecordFormat::Fenced
     }
+
+    /// Whether the first chunk of a completion bitmap may have a record of its own.
+    pub fn has_detached_chunk(self) -> bool {
+        self >= RecordFormat::DetachedChunk
+    }
 }
 
 /// Number of the newest format that this version of the software reads.
-pub const LATEST_FORMAT: u32 = RecordFormat::FencedRules.number();
+pub const LATEST_FORMAT: u32 = RecordFormat::DetachedChunkRules.number();
 
 /// Number of the first format in which jobs may depend on others.
 pub const DEPENDENCIES_FORMAT: u32 = RecordFormat::Compact.number();
@@ -87,8 +103,8 @@
 /// Number of the first fenced format; it has no rules.
 pub const FENCED_FORMAT: u32 = RecordFormat::Fenced.number();
 
-/// Number of the first fenced format with rules.
-pub const FENCED_RULES_FORMAT: u32 = RecordFormat::FencedRules.number();
+/// Number of the newest format without rules.
+pub const LATEST_FORMAT_WITHOUT_RULES: u32 = RecordFormat::DetachedChunk.number();
 
 /// Number of the first format with compact encodings.
 pub const COMPACT_FORMAT: u32 = RecordFormat::Compact.number();
--- a/src/storage/records/mod.rs
+++ b/src/storage/records/mod.rs
@@ -11,8 +11,8 @@
 use crate::storage::restart_history::RestartHistory;
 use crate::time::Micros;
 pub use format::{
-    COMPACT_FORMAT, DEPENDENCIES_FORMAT, FENCED_FORMAT, FENCED_RULES_FORMAT, INITIAL_FORMAT,
-    LATEST_FORMAT, RecordFormat, format_has_rules,
+    COMPACT_FORMAT, DEPENDENCIES_FORMAT, FENCED_FORMAT, INITIAL_FORMAT, LATEST_FORMAT,
+    LATEST_FORMAT_WITHOUT_RULES, RecordFormat, format_has_rules,
 };
 pub use key::{Key, LIVE_PREFIX};
 use serde::{Deserialize, Serialize};
