A repeated submission looks up its own job's end, whatever that job awaited

Cause: the transaction of a submission fails if its job has a final record. What followed was a read and, for a job that awaits others, another check of these, which found all of them accepted and sent the same transaction again, until the attempts were used up. Only for jobs that await nothing the own final record was looked up. A controller that remembers the end, which a restart ends, hid this.

Scenario repeated-after-a-crash-of-all: the repeated submissions of a finished and of a cancelled job are not answered within 3 s (they get 503 to the end of the run); without the crash they are.

Fix: once a submission's transaction has failed or has an unknown outcome, the final record of its own job is looked up, whatever it awaits. If there is none the submission is sent again; what it awaits was accepted when it was sent first, and stays so.

Why it works: the only conditions of that transaction are that its job has no live and no final record, and the read and the look-up are about just these two. A first submission takes no step more: the look-up comes only after a transaction that did not succeed.

Test: the scenario fails before and passes now. The runner has a new expectation, submissions-answered JOB within=S, for it.

--- a/src/coordination/api/reads.rs
+++ b/src/coordination/api/reads.rs
@@ -130,7 +130,7 @@
         if let Some(end) = self.users.end_of(request.job) {
             let status = final_status(request.job, end);
             self.respond(&request, UserResponse::Status(status));
-        } else if request.has_dependencies() {
+        } else if request.has_dependencies() && !request.may_have_been_accepted() {
             self.check_dependencies(request, true);
         } else if self.users.is_absent(request.job) {
             self.resolve_absent(request);
--- a/src/coordination/api/requests.rs
+++ b/src/coordination/api/requests.rs
@@ -53,6 +53,12 @@
         matches!(&self.kind, RequestKind::Submit(spec) if !spec.dependencies.is_empty())
     }
 
+    /// Whether a transaction of the request failed or had an unknown outcome. A submission's transaction fails if its job was
+    /// accepted before.
+    pub(super) fn may_have_been_accepted(&self) -> bool {
+        self.attempts > 0
+    }
+
     fn is_expired(&self, now: Micros) -> bool {
         let timeout = if self.is_query() {
             Self::QUERY_TIMEOUT
--- a/tests/runner/expectations.rs
+++ b/tests/runner/expectations.rs
@@ -132,6 +132,9 @@
                 Expect::StartsAtMost(j, n) => {
                     self.checker.start_counts.get(j).copied().unwrap_or(0) <= *n
                 }
+                Expect::SubmissionsAnsweredWithin(job, within) => {
+                    self.submissions_answered_within(*job, *within)
+                }
                 Expect::DoneBy(j, at) => self
                     .checker
                     .completion_reported_at(*j)
--- a/tests/runner/mod.rs
+++ b/tests/runner/mod.rs
@@ -97,6 +97,9 @@
     sent_at: u64,
     awaiting_response: bool,
     retries: bool,
+    first_sent_at: u64,
+    /// When a response came that does not ask for a retry.
+    answered_at: Option<u64>,
 }
 
 struct Node {
--- a/tests/runner/script.rs
+++ b/tests/runner/script.rs
@@ -252,6 +252,8 @@
     },
     /// The job's tasks were started at most this many times in total.
     StartsAtMost(u64, u64),
+    /// Every submission of the job, repeated ones too, was answered within this time.
+    SubmissionsAnsweredWithin(u64, u64),
     /// A response reported by then that the job is done.
     DoneBy(u64, u64),
     /// The state service received at most this many requests, or changes.
--- a/tests/runner/script/expectation.rs
+++ b/tests/runner/script/expectation.rs
@@ -74,6 +74,9 @@
         "starts-at-most" => {
             Expect::StartsAtMost(w.positional(2, job)?, w.required("count", parse_count)?)
         }
+        "submissions-answered" => {
+            Expect::SubmissionsAnsweredWithin(w.positional(2, job)?, w.required("within", micros)?)
+        }
         "done-by" => Expect::DoneBy(w.positional(2, job)?, w.required("at", micros)?),
         "requests-at-most" => Expect::StateRequestsAtMost(w.positional(2, parse_count)?),
         "changes-at-most" => Expect::StateChangesAtMost(w.positional(2, parse_count)?),
--- a/tests/runner/users.rs
+++ b/tests/runner/users.rs
@@ -131,11 +131,26 @@
             sent_at: 0,
             awaiting_response: false,
             retries: true,
+            first_sent_at: self.now,
+            answered_at: None,
         });
         let user = self.users.len() - 1;
         self.send_user_request(user);
     }
 
+    /// Whether every submission of a job was answered within this time, by another response than one that asks for a retry.
+    pub(super) fn submissions_answered_within(&self, job: u64, within: u64) -> bool {
+        let submissions = || {
+            let of_job = self.users.iter().filter(move |user| user.job == job);
+            of_job.filter(|user| user.kind == "submit")
+        };
+        let is_in_time = |user: &User| {
+            user.answered_at
+                .is_some_and(|at| at - user.first_sent_at <= within)
+        };
+        submissions().next().is_some() && submissions().all(is_in_time)
+    }
+
     /// Sends one status query of a series.
     pub(super) fn poll(&mut self, job: u64) {
         self.send_once(job, "query", Vec::new(), None);
@@ -158,6 +173,8 @@
             sent_at: 0,
             awaiting_response: false,
             retries: false,
+            first_sent_at: self.now,
+            answered_at: None,
         });
         self.send_user_request(self.users.len() - 1);
     }
@@ -208,6 +225,9 @@
             self.users[user].retries,
         );
         self.users[user].awaiting_response = false;
+        if status != 503 {
+            self.users[user].answered_at.get_or_insert(self.now);
+        }
         if kind == "query" {
             self.checker
                 .record_poll(self.now, job, matches!(status, 200 | 404));
