No submission is refused before it is known whether its job was accepted

Cause: a submission whose record would not fit was answered at once, by what the job would be now. That it was accepted earlier, under other limits, was not looked at. Likewise 503 was the answer, for ever, to a repeated submission of a job with rules while not every controller enforces them (rules can be withdrawn), and to one that awaits others while the record format does not allow that.

The two cases of 503 were found by reading; no run shows them.

Fix: all three wait for a read, and for a look-up of the job's final record, as refusals with 422 did before; only a job that was never accepted gets the refusal. Submissions that are accepted take no step more.

--- a/src/coordination/api/mod.rs
+++ b/src/coordination/api/mod.rs
@@ -142,15 +142,18 @@
             return;
         };
         match self.validate(spec) {
-            Err(Rejection::RetryAfter) => self.respond(&request, Self::RETRY_AFTER),
-            Err(Rejection::Unsatisfiable(reason)) => {
-                request.kind = RequestKind::Refuse(UserResponse::Unsatisfiable(reason.into()));
+            Err(rejection) => {
+                request.kind = RequestKind::Refuse(match rejection {
+                    Rejection::RetryAfter => Self::RETRY_AFTER,
+                    Rejection::Unsatisfiable(reason) => UserResponse::Unsatisfiable(reason.into()),
+                });
                 self.await_read(request);
             }
             Ok(()) if spec.dependencies.is_empty() => self.users.push_submission(request),
             // A controller that ignores dependencies would start the job too early.
             Ok(()) if !self.supports_dependencies() => {
-                self.respond(&request, Self::RETRY_AFTER);
+                request.kind = RequestKind::Refuse(Self::RETRY_AFTER);
+                self.await_read(request);
             }
             Ok(()) => self.check_dependencies(request, false),
         }
--- a/src/coordination/api/submissions.rs
+++ b/src/coordination/api/submissions.rs
@@ -60,7 +60,7 @@
         let mut txn = Transaction::default();
         let mut sent = Vec::new();
         let mut bytes = 0;
-        for request in batch {
+        for mut request in batch {
             let RequestKind::Submit(spec) = &request.kind else {
                 continue;
             };
@@ -68,7 +68,8 @@
             let value = encode(&record.with_compact_encoding(self.cell.uses_compact_encoding()));
             let size = value.as_ref().map_or(0, |value| value.get().len());
             if size + spec.max_growth_bytes() > self.limits.value_bytes() {
-                self.respond(&request, UserResponse::Invalid("too large".into()));
+                request.kind = RequestKind::Refuse(UserResponse::Invalid("too large".into()));
+                self.await_read(request);
                 continue;
             }
             if bytes + size > Self::MAX_SUBMITTED_BYTES && !sent.is_empty() {
