Machines whose images have long names can be changed under lower limits

What callers would see: under lower limits no end of a task on such a machine is recorded any more.

Cause: a machine's record has the names of its last 8 images, of up to 256 bytes each. Images were dropped to make room for an assignment, but not where the record was too large to be written already; and the step that takes an oversized group apart left out a machine that is too large for a group of its own.

Fix: both places drop images first, the oldest ones, and all of them if needed. An image that is fetched again costs less than a machine that cannot be changed. Records that fit are as before.

Tests: end_of_a_task_is_recorded_whatever_the_names_of_the_machines_images and machine_that_is_too_large_for_its_images_is_moved_without_them.

--- a/src/coordination/commit/transaction/compaction.rs
+++ b/src/coordination/commit/transaction/compaction.rs
@@ -1,7 +1,7 @@
 //! Compaction of records that were written under larger limits than the state store has now or will
 //! have: each step leaves a complete state.
 
-use super::edits::{GroupEdit, size_of};
+use super::edits::{GroupEdit, fit_images, size_of};
 use super::limits::{SPARE_BYTES, max_values_bytes};
 use super::required_records::{RequiredJob, RequiredRecords};
 use super::{GroupId, TermUpdate, TransactionBuilder, TransactionLimits};
@@ -56,8 +56,9 @@
         let full_bytes = (self.full_record_bytes)(&record.machine_type);
         let mut alone = self.empty_group();
         alone.machines.insert(machine, record);
-        let bytes = size_of(&alone);
-        if bytes + SPARE_BYTES / 2 > self.limits.value_bytes {
+        let max_bytes = self.limits.value_bytes.saturating_sub(SPARE_BYTES / 2);
+        let bytes = fit_images(&mut alone, max_bytes);
+        if bytes > max_bytes {
             return true;
         }
         // The new groups, one more for the machine, and the group itself or the shard's term; each is a
--- a/src/coordination/commit/transaction/compaction/tests.rs
+++ b/src/coordination/commit/transaction/compaction/tests.rs
@@ -267,3 +267,35 @@
         }
     }
 }
+
+/// Guards against a machine that can never be changed again because the names of its images fill a value.
+#[test]
+fn machine_that_is_too_large_for_its_images_is_moved_without_them() {
+    let mut cell = replica_of(LATEST_FORMAT);
+    let mut group = GroupRecord::default();
+    for id in 1..=2 {
+        let mut record = machine();
+        record.images = (0..8)
+            .map(|index| (format!("{index}").repeat(250).into(), 500))
+            .collect();
+        group.machines.insert(MachineId(id), record);
+    }
+    let key = Key::Group(0, 0);
+    let change = Change {
+        key: key.clone(),
+        content: Some(Content::Group(group)),
+        mod_revision: 2,
+    };
+    cell.apply([change], &mut CellChanges::default());
+    cell.advance(2);
+    for revision in 3..8 {
+        let Some(step) = plan_step(&cell, &key, MAX_BYTES) else {
+            break;
+        };
+        assert!(step.txn.largest_value_bytes() <= MAX_BYTES);
+        apply(&mut cell, step, revision);
+    }
+    assert_eq!(cell.machines().count(), 2);
+    let largest = cell.groups[0].values().map(|group| size_of(&group.value));
+    assert!(largest.max() <= Some(MAX_BYTES));
+}
--- a/src/coordination/commit/transaction/edits.rs
+++ b/src/coordination/commit/transaction/edits.rs
@@ -54,13 +54,31 @@
     /// without work.
     fn prune_images(&mut self) {
         self.pruned = true;
-        for machine in self.record.machines.values_mut() {
-            machine.truncate_images(IMAGES_KEPT_BY_PRUNING);
-        }
+        truncate_images(&mut self.record, IMAGES_KEPT_BY_PRUNING);
         self.bytes = size_of(&self.record);
     }
 }
 
+/// Drops images of the machines, as many as it takes for a record of at most `max_bytes`: first most, then all. Returns the
+/// record's bytes.
+pub(super) fn fit_images(record: &mut GroupRecord, max_bytes: usize) -> usize {
+    let mut bytes = size_of(record);
+    for kept in [IMAGES_KEPT_BY_PRUNING, 0] {
+        if bytes <= max_bytes {
+            break;
+        }
+        truncate_images(record, kept);
+        bytes = size_of(record);
+    }
+    bytes
+}
+
+fn truncate_images(record: &mut GroupRecord, kept: usize) {
+    for machine in record.machines.values_mut() {
+        machine.truncate_images(kept);
+    }
+}
+
 /// The usage record of a shard.
 #[derive(Clone, Debug)]
 pub(super) struct UsageEdit {
--- a/src/coordination/commit/transaction/limits/tests.rs
+++ b/src/coordination/commit/transaction/limits/tests.rs
@@ -268,3 +268,24 @@
     assert_eq!(transaction.groups_without_room().len(), 1);
     assert!(transaction.build().txn.conditions.is_empty());
 }
+
+/// Guards against ends that are never recorded under lower limits because the names of a machine's images fill a value.
+#[test]
+fn end_of_a_task_is_recorded_whatever_the_names_of_the_machines_images() {
+    let mut cell = replica_with_job(one_task_job());
+    let mut group = cell.groups[0][&0].value.clone();
+    for record in group.machines.values_mut() {
+        record.images = (0..8)
+            .map(|index| (format!("{index}").repeat(250).into(), 500))
+            .collect();
+    }
+    assert!(size_of(&group) > LOWER_VALUE_BYTES);
+    let change = Change {
+        key: Key::Group(0, 0),
+        content: Some(Content::Group(group)),
+        mod_revision: 1_000_001,
+    };
+    cell.apply([change], &mut CellChanges::default());
+    let planned = release(&cell, AssignmentOutcome::Done);
+    assert_eq!(planned.ended.len(), 1);
+}
--- a/src/coordination/commit/transaction/required_records.rs
+++ b/src/coordination/commit/transaction/required_records.rs
@@ -1,6 +1,6 @@
 //! The records that an edit requires. They are opened only if the whole edit is within the limits.
 
-use super::edits::{GroupEdit, JobEdit, UsageEdit, size_of};
+use super::edits::{GroupEdit, JobEdit, UsageEdit, fit_images, size_of};
 use super::limits::{MAX_JOB_TASKS_IN_USAGE, max_values_bytes};
 use super::{GroupId, TransactionBuilder};
 use crate::storage::cell_state::Job;
@@ -204,11 +204,11 @@
             .get(&index)
             .map(|group| group.value.clone())
             .unwrap_or_default();
-        let record = GroupRecord {
+        let mut record = GroupRecord {
             compact_encoding: self.compact_encoding,
             ..record
         };
-        let bytes = size_of(&record);
+        let bytes = fit_images(&mut record, self.limits.stored_value_bytes);
         GroupEdit::new(record, bytes, self.limits.max_bytes(bytes))
     }
 
