The end of a cancelled job leaves no chunk in the store

What callers would see: nothing; the state store would keep c/job/ID/0 of a job that is gone.

Cause: opening the record of a cancelled job to end it detaches the first chunk of its bitmap if the record could outgrow a value, and the transaction that removed the record wrote the chunk.

Evidence: end_of_a_cancelled_job_writes_no_chunk fails on: the transaction writes c/job/700000/0 beside the final record.

Fix: the transaction that ends a job writes none of its chunks, and removes those that exist.

Test: the unit test fails before and passes now.

--- a/src/coordination/commit/transaction/limits/tests/detached_chunk.rs
+++ b/src/coordination/commit/transaction/limits/tests/detached_chunk.rs
@@ -119,3 +119,18 @@
     let job = &cell.jobs[&OVERSIZED];
     assert!(job.record.finished.contains(7_000) && !job.has_detached_chunk());
 }
+
+/// Guards against a chunk that the end of a cancelled job leaves in the store.
+#[test]
+fn end_of_a_cancelled_job_writes_no_chunk() {
+    let mut job = job_with_long_names(6_000, 5_000);
+    job.cancelled = true;
+    let cell = replica_with_tasks(LATEST_FORMAT, job, &[]);
+    let mut transaction = TransactionBuilder::new(&cell, lower_limits());
+    assert!(transaction.end_cancelled(OVERSIZED));
+    let planned = transaction.build();
+    assert_eq!(planned.ended.len(), 1);
+    let written = planned.txn.changes.iter().filter(|c| c.value.is_some());
+    let written: Vec<&Key> = written.map(|change| &change.key).collect();
+    assert_eq!(written, [&Key::Final(OVERSIZED)]);
+}
--- a/src/coordination/commit/transaction/output.rs
+++ b/src/coordination/commit/transaction/output.rs
@@ -60,9 +60,10 @@
         for (index, mut chunk) in edit.chunks {
             chunk.set_compact_encoding(compact_encoding);
             let key = Key::Chunk(id, index);
-            let is_complete = edit.record.is_chunk_complete(index);
+            // The end of the job removes what is left of its chunks.
+            let is_needed = !edit.record.is_chunk_complete(index) && edit.ended.is_none();
             let exists = self.cell.mod_revision(&key) > 0;
-            if !is_complete {
+            if is_needed {
                 self.put(key, Some(Content::Chunk(chunk)));
             } else if exists {
                 self.put(key, None);
