A job whose specification alone is larger than the lower limit ends

What callers saw: after the limits had fallen, an array of more than 256 tasks whose specification is larger than a value, by the names of the machine types that it allows or by its rules, never ended.

Cause: each end of a task beyond 256 changes the job's record, and without its bitmap this one is still too large.

Fix, from record format 7 on: such a record stays as it is, and the completions of all chunks go into records of chunks, each written on condition that the job's record has not changed. Once all tasks are done the job's record is written with that, reduced like that of a cancelled job, then the chunks are removed, then the job ends. A cancellation counts what the chunks have.

Why it works: nothing but the reduced record is written to the job's key, and until that is written the chunks stay, so no task counts as unfinished at any time. Jobs whose specification fits take none of these steps.

--- a/src/coordination/api/cancellations.rs
+++ b/src/coordination/api/cancellations.rs
@@ -62,6 +62,7 @@
     fn cancelled_record(&self, job: &Job) -> JobRecord {
         let compact_encoding = self.cell.uses_compact_encoding();
         let mut record = job.record.clone().with_compact_encoding(compact_encoding);
+        record.finished_in_chunks = job.finished_in_chunks();
         record.cancel_within(self.limits.value_bytes(), &job.recorded_finished_tasks);
         record
     }
--- a/src/coordination/commit/transaction/edits.rs
+++ b/src/coordination/commit/transaction/edits.rs
@@ -110,6 +110,9 @@
     pub max_bytes: usize,
     /// Whether the completions of the first chunk go into a record of their own.
     detached_chunk: bool,
+    /// Whether the job's own record is written; otherwise only the records of its chunks are, since its specification
+    /// alone is larger than a value may be.
+    pub writes_record: bool,
 }
 
 impl JobEdit {
@@ -121,9 +124,22 @@
             ended: None,
             max_bytes,
             detached_chunk: false,
+            writes_record: true,
         }
     }
 
+    /// Records completions in the records of chunks alone; the job's own record stays as it is.
+    pub fn keep_record(&mut self) {
+        self.detached_chunk = true;
+        self.writes_record = false;
+    }
+
+    /// Whether the end of the job can be part of the transaction: no record of a chunk is left then.
+    pub fn may_end(&self, job: &Job) -> bool {
+        let is_edited = |chunk: &u32| self.chunks.contains_key(chunk);
+        self.writes_record && job.chunks.keys().all(is_edited)
+    }
+
     /// Moves the completions of the first chunk from the job's record to one of their own. `job`: the job as it was before
     /// the transaction.
     pub fn detach_first_chunk(&mut self, job: &Job) {
@@ -161,6 +177,8 @@
         let chunk_index = index / TASKS_PER_CHUNK;
         if !self.keeps_apart(chunk_index) {
             self.record.finished.insert(index);
+        } else if chunk_index == FIRST_CHUNK && self.record.finished.contains(index) {
+            // The job's own record, which is not written, has this task.
         } else if !self.record.is_chunk_complete(chunk_index) {
             self.complete_in_chunk(chunk_index, index % TASKS_PER_CHUNK, job);
         }
--- a/src/coordination/commit/transaction/limits/tests.rs
+++ b/src/coordination/commit/transaction/limits/tests.rs
@@ -40,10 +40,14 @@
 }
 
 fn insert(cell: &mut CellState, key: Key, content: Content) {
+    insert_at(cell, key, content, 1_000_000);
+}
+
+fn insert_at(cell: &mut CellState, key: Key, content: Content, mod_revision: u64) {
     let change = Change {
         key,
         content: Some(content),
-        mod_revision: 1_000_000,
+        mod_revision,
     };
     cell.apply([change], &mut CellChanges::default());
 }
--- a/src/coordination/commit/transaction/limits/tests/detached_chunk.rs
+++ b/src/coordination/commit/transaction/limits/tests/detached_chunk.rs
@@ -120,6 +120,90 @@
     assert!(job.record.finished.contains(7_000) && !job.has_detached_chunk());
 }
 
+/// A job whose specification alone is larger than the lower limit.
+fn job_with_an_oversized_specification(task_count: u32, finished: u32) -> JobRecord {
+    let mut job = job_with_long_names(task_count, finished);
+    job.spec.machine_types = Some(vec!["type-with-a-long-name".to_owned(); 100]);
+    job
+}
+
+/// Guards against a job that never ends because its specification alone is larger than the lower limit: its completions go
+/// into the records of its chunks, which are removed once all are done.
+#[test]
+fn job_whose_specification_cannot_be_written_ends() {
+    const FIRST_OPEN: u32 = TASKS_PER_CHUNK - 2;
+    const TASKS: u32 = TASKS_PER_CHUNK + 3;
+    let job = job_with_an_oversized_specification(TASKS, FIRST_OPEN);
+    let tasks: Vec<u32> = (FIRST_OPEN..TASKS).collect();
+    let mut cell = replica_with_tasks(LATEST_FORMAT, job, &tasks);
+    let mut revision = 1_000_001;
+    for (done, index) in (FIRST_OPEN + 1..).zip(tasks) {
+        let planned = complete(&cell, index).expect("the end is recorded");
+        assert!(planned.ended.is_empty());
+        apply(&mut cell, planned, revision);
+        revision += 1;
+        let job = &cell.jobs[&OVERSIZED];
+        assert_eq!(job.finished_count(), done);
+        assert!((0..TASKS).all(|task| job.is_finished(task) == (task < done)));
+    }
+    let mut steps = 0;
+    while cell.jobs.contains_key(&OVERSIZED) {
+        let job = &cell.jobs[&OVERSIZED];
+        assert!(job.finished_count() == TASKS && (0..TASKS).all(|task| job.is_finished(task)));
+        let mut transaction = TransactionBuilder::new(&cell, lower_limits());
+        assert!(transaction.end_done(OVERSIZED));
+        let planned = transaction.build();
+        let size = planned.txn.size();
+        assert!(
+            size.largest_value_bytes <= LOWER_VALUE_BYTES && size.changes <= 4,
+            "{size:?}"
+        );
+        let chunks_left = !job.chunks.is_empty();
+        assert_eq!(planned.ended.is_empty(), chunks_left);
+        apply(&mut cell, planned, revision);
+        revision += 1;
+        steps += 1;
+    }
+    // The job's record, two chunks, the end.
+    assert_eq!(steps, 4);
+}
+
+/// Guards against completions that a cancellation loses or counts twice because they are in the records of chunks.
+#[test]
+fn cancelled_record_counts_the_completions_of_all_chunks() {
+    let job = job_with_an_oversized_specification(20_000, 5_000);
+    let tasks = [7_000, TASKS_PER_CHUNK];
+    let mut cell = replica_with_tasks(LATEST_FORMAT, job, &tasks);
+    for (revision, index) in (1_000_001..).zip(tasks) {
+        let planned = complete(&cell, index).expect("the end is recorded");
+        apply(&mut cell, planned, revision);
+    }
+    let job = &cell.jobs[&OVERSIZED];
+    let mut record = job.record.clone();
+    record.finished_in_chunks = job.finished_in_chunks();
+    record.cancel_within(LOWER_VALUE_BYTES, &CompletionBitmap::default());
+    assert!(size_of(&record) <= LOWER_VALUE_BYTES);
+    insert_at(
+        &mut cell,
+        Key::Job(OVERSIZED),
+        Content::Job(Box::new(record)),
+        1_000_010,
+    );
+    let mut removed = 0;
+    while !cell.jobs[&OVERSIZED].chunks.is_empty() {
+        assert_eq!(cell.jobs[&OVERSIZED].finished_count(), 5_002);
+        let mut transaction = TransactionBuilder::new(&cell, lower_limits());
+        assert!(transaction.end_cancelled(OVERSIZED));
+        removed += 1;
+        let planned = transaction.build();
+        apply(&mut cell, planned, 1_000_010 + removed);
+    }
+    assert_eq!(
+        (removed, cell.jobs[&OVERSIZED].finished_count()),
+        (2, 5_002)
+    );
+}
+
 /// Guards against a chunk that the end of a cancelled job leaves in the store.
 #[test]
 fn end_of_a_cancelled_job_writes_no_chunk() {
--- a/src/coordination/commit/transaction/output.rs
+++ b/src/coordination/commit/transaction/output.rs
@@ -4,10 +4,11 @@
 use super::{GroupId, PlannedTransaction, TransactionBuilder};
 use crate::protocol::state::{KeyChange, Transaction, encode};
 use crate::storage::cell_state::{CellState, Change, Content};
+use crate::storage::completion_bitmap::CompletionBitmap;
 use crate::storage::ids::JobId;
 use crate::storage::job::FinalRecord;
 use crate::storage::records::Key;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Collects the writes of a transaction; the key of each is a condition as well.
 struct Output<'a> {
@@ -57,6 +58,9 @@
         if let Some(job) = self.cell.jobs.get(&id) {
             edit.fit(job, max_bytes);
         }
+        if !edit.writes_record && edit.ended.is_none() {
+            return self.put_chunks(id, edit.chunks, compact_encoding);
+        }
         for (index, mut chunk) in edit.chunks {
             chunk.set_compact_encoding(compact_encoding);
             let key = Key::Chunk(id, index);
@@ -78,6 +82,20 @@
         }
     }
 
+    /// Writes chunks of a job whose own record stays as it is, on condition that it has not changed.
+    fn put_chunks(
+        &mut self,
+        id: JobId,
+        chunks: BTreeMap<u32, CompletionBitmap>,
+        compact_encoding: bool,
+    ) {
+        self.conditions.insert(Key::Job(id));
+        for (index, mut chunk) in chunks {
+            chunk.set_compact_encoding(compact_encoding);
+            self.put(Key::Chunk(id, index), Some(Content::Chunk(chunk)));
+        }
+    }
+
     /// Writes the final records of jobs that end. The replica does not contain final records.
     fn put_final_records(&mut self) {
         for (id, end) in &self.ended {
--- a/src/coordination/commit/transaction/releases.rs
+++ b/src/coordination/commit/transaction/releases.rs
@@ -177,8 +177,9 @@
         let completion = self.completion(release.job, release.attempt);
         let may_write_record = |transaction: &Self| {
             let TaskId { job: id, index } = release.attempt.task;
-            transaction
-                .accepts_job_record(id, release.job, |edit| edit.complete(index, release.job))
+            transaction.keeps_job_record(id, release.job)
+                || transaction
+                    .accepts_job_record(id, release.job, |edit| edit.complete(index, release.job))
         };
         // The end of the job removes its record.
         if (completion.ends_job || may_write_record(self))
@@ -245,7 +246,7 @@
         let completed = edit.map_or_else(
             || {
                 let ends = self.ends_in_usage(id, job);
-                job.record.finished.union_count(&ends) + job.record.finished_in_chunks
+                job.record.finished.union_count(&ends) + job.finished_in_chunks()
             },
             |edit| edit.record.finished_count(),
         );
@@ -284,7 +285,10 @@
         };
         edit.complete(release.attempt.task.index, release.job);
         let completed = edit.record.finished_count();
-        if extent == ReleaseExtent::All && completed >= edit.record.spec.task_count {
+        if extent == ReleaseExtent::All
+            && completed >= edit.record.spec.task_count
+            && edit.may_end(release.job)
+        {
             edit.ended = Some(FinalRecord {
                 cancelled: false,
                 done: completed,
--- a/src/coordination/commit/transaction/required_records.rs
+++ b/src/coordination/commit/transaction/required_records.rs
@@ -264,7 +264,12 @@
         let max_bytes = max_job_record_bytes(&record);
         let mut edit = JobEdit::new(record, max_bytes);
         if self.detaches_first_chunk(job) {
-            edit.detach_first_chunk(job);
+            edit.record.finished_in_chunks = job.finished_in_chunks();
+            if self.may_write_without_bitmap(job) {
+                edit.detach_first_chunk(job);
+            } else {
+                edit.keep_record();
+            }
         }
         edit
     }
@@ -281,8 +286,18 @@
 
     /// Whether a job's record may become larger than a value may be.
     fn may_outgrow_limits(&self, job: &Job) -> bool {
-        let initial = JobRecord::new(job.spec().clone(), job.record.submitted);
-        size_of(&initial) + job.spec().max_growth_bytes() > self.limits.value_bytes
+        initial_record_bytes(job) + job.spec().max_growth_bytes() > self.limits.value_bytes
+    }
+
+    /// Whether the store accepts a job's record if it has no completion bitmap.
+    fn may_write_without_bitmap(&self, job: &Job) -> bool {
+        let awaited_bytes = if job.is_ready() {
+            size_of(&job.spec().dependencies)
+        } else {
+            0
+        };
+        let bytes = initial_record_bytes(job) + MAX_COUNTERS_BYTES - awaited_bytes;
+        bytes <= self.limits.stored_value_bytes
     }
 
     /// Whether opening a job's record takes a further change, since the first chunk of its bitmap moves to a record of its
@@ -292,6 +307,7 @@
         finished > 0
             && finished < job.spec().tasks_in_chunk(FIRST_CHUNK)
             && self.detaches_first_chunk(job)
+            && self.may_write_without_bitmap(job)
     }
 
     /// Whether the store accepts a job's record after this change of it. A record may be too large if it
@@ -311,6 +327,9 @@
         if edit.max_bytes <= limit {
             return true;
         }
+        if !edit.writes_record {
+            return false;
+        }
         change(&mut edit);
         edit.record
             .finished
@@ -319,6 +338,14 @@
         size_of(&edit.record) <= limit
     }
 
+    /// Whether completions of a job go into the records of its chunks alone.
+    pub(super) fn keeps_job_record(&self, id: JobId, job: &Job) -> bool {
+        self.jobs.get(&id).map_or_else(
+            || self.detaches_first_chunk(job) && !self.may_write_without_bitmap(job),
+            |edit| !edit.writes_record,
+        )
+    }
+
     /// Lets a group grow by this many bytes if that leaves `spare` bytes free; false otherwise.
     pub(super) fn grow(&mut self, group: GroupId, growth: usize, spare: usize) -> bool {
         let changes = self.changes();
@@ -339,6 +366,14 @@
     }
 }
 
+/// Upper bound of the bytes of a job's counters and of the machines on which its tasks failed.
+const MAX_COUNTERS_BYTES: usize = 200;
+
+/// Bytes of a job's record when it was submitted.
+fn initial_record_bytes(job: &Job) -> usize {
+    size_of(&JobRecord::new(job.spec().clone(), job.record.submitted))
+}
+
 /// Upper bound of the bytes that the edit of a job takes, with a further chunk of its bitmap.
 fn max_job_edit_bytes(job: &Job) -> usize {
     let chunk_bytes = job.spec().extra_chunks().min(1) as usize * max_bitmap_bytes(job.spec());
--- a/src/storage/cell_state/changes.rs
+++ b/src/storage/cell_state/changes.rs
@@ -180,6 +180,7 @@
             }
             (Key::Chunk(id, chunk), Content::Chunk(bitmap)) => {
                 self.put_chunk(id, chunk, Versioned::new(bitmap, mod_revision));
+                changes_seen.jobs.push(id);
             }
             _ => {}
         }
--- a/src/storage/job.rs
+++ b/src/storage/job.rs
@@ -228,6 +228,11 @@
         self.complete_chunks >> chunk & 1 == 1
     }
 
+    /// Whether all chunks are complete, the first one too, without any other record.
+    pub fn has_only_complete_chunks(&self) -> bool {
+        (FIRST_CHUNK..=self.spec.extra_chunks()).all(|chunk| self.is_chunk_complete(chunk))
+    }
+
     /// Marks a chunk that has no place in this record as complete.
     pub fn set_chunk_complete(&mut self, chunk: u32) {
         self.complete_chunks |= 1 << chunk;
@@ -260,6 +265,22 @@
     /// know its tasks that still run go last. `recorded_elsewhere`: the finished tasks that other records have.
     pub fn cancel_within(&mut self, max_bytes: usize, recorded_elsewhere: &CompletionBitmap) {
         self.cancelled = true;
+        self.reduce_to(max_bytes, recorded_elsewhere);
+    }
+
+    /// Marks all tasks as finished in this record alone. One that would have more than `max_bytes` loses what a job
+    /// without tasks to run needs no more.
+    pub fn finish_within(&mut self, max_bytes: usize) {
+        self.finished = CompletionBitmap::default();
+        self.finished_in_chunks = self.spec.task_count;
+        for chunk in FIRST_CHUNK..=self.spec.extra_chunks() {
+            self.set_chunk_complete(chunk);
+        }
+        self.reduce_to(max_bytes, &CompletionBitmap::default());
+    }
+
+    /// Drops what a job of which no task starts any more does not need, until the record has at most `max_bytes`.
+    fn reduce_to(&mut self, max_bytes: usize, recorded_elsewhere: &CompletionBitmap) {
         let stored_bytes = |record: &JobRecord| {
             let value = serde_json::to_string(record);
             value.map_or(0, |value| value.len())
@@ -279,7 +300,7 @@
         }
     }
 
-    /// Replaces the completion bitmap by the number of its tasks. Only for a cancelled job, of which no task starts any more.
+    /// Replaces the completion bitmap by the number of its tasks.
     fn count_finished_tasks(&mut self, recorded_elsewhere: &CompletionBitmap) {
         let finished = self.finished.union_count(recorded_elsewhere);
         self.finished_in_chunks += finished - recorded_elsewhere.count();
--- a/src/storage/live_job.rs
+++ b/src/storage/live_job.rs
@@ -68,7 +68,23 @@
         self.record
             .finished
             .union_count(&self.recorded_finished_tasks)
-            + self.record.finished_in_chunks
+            + self.finished_in_chunks()
+    }
+
+    /// Number of finished tasks in chunks that have no place in the job's own record. The job's record counts them, unless
+    /// it could not be written when they ended; then their chunks' records do.
+    pub fn finished_in_chunks(&self) -> u32 {
+        let spec = self.spec();
+        let complete = (FIRST_CHUNK..=spec.extra_chunks())
+            .filter(|chunk| self.record.is_chunk_complete(*chunk))
+            .map(|chunk| spec.tasks_in_chunk(chunk));
+        let incomplete = self
+            .chunks
+            .iter()
+            .filter(|(chunk, _)| !self.record.is_chunk_complete(**chunk))
+            .map(|(_, bitmap)| bitmap.value.count());
+        let stored = complete.chain(incomplete).sum();
+        self.record.finished_in_chunks.max(stored)
     }
 
     /// Whether the task with this number is finished.
