--- a/src/coordination/autoscaler/catalog.rs
+++ b/src/coordination/autoscaler/catalog.rs
@@ -5,6 +5,7 @@
 use crate::protocol::state::{CallError, StateResponse, encode};
 use crate::storage::catalog::Catalog;
 use crate::storage::cell_state::{CellChanges, Change, Content, catalog_key};
+use crate::storage::records::stored_bytes;
 use crate::time::Micros;
 
 /// How often the catalog is read.
@@ -31,22 +32,21 @@
 /// Splits a catalog into parts, in its order, none of which takes more than `max_bytes`; at least one part. `None` if a
 /// single machine type takes more.
 fn split(catalog: Catalog, max_bytes: usize) -> Option<Vec<Catalog>> {
-    let bytes = |part: &Catalog| encode(part).map_or(usize::MAX, |value| value.get().len());
-    if bytes(&catalog) <= max_bytes {
+    if stored_bytes(&catalog) <= max_bytes {
         return Some(vec![catalog]);
     }
     let mut parts = vec![Catalog::default()];
     for machine_type in catalog.types {
         let part = parts.last_mut()?;
         part.types.push(machine_type);
-        if bytes(part) > max_bytes {
+        if stored_bytes(part) > max_bytes {
             let types = part.types.pop().into_iter().collect();
             parts.push(Catalog { types });
         }
     }
     let fits = parts
         .iter()
-        .all(|part| !part.types.is_empty() && bytes(part) <= max_bytes);
+        .all(|part| !part.types.is_empty() && stored_bytes(part) <= max_bytes);
     fits.then_some(parts)
 }
 
--- a/src/coordination/autoscaler/provisioning.rs
+++ b/src/coordination/autoscaler/provisioning.rs
@@ -2,12 +2,11 @@
 
 use crate::coordination::Controller;
 use crate::protocol::cloud::PROVISION_LIMIT;
-use crate::protocol::state::encode;
 use crate::scheduler::provisioning::{MachineOffer, MachinePools, plan};
 use crate::storage::catalog::Catalog;
 use crate::storage::ids::MachineId;
 use crate::storage::machine_classes::ClassId;
-use crate::storage::records::{FleetRecord, MachineRecord, ProvisionRecord};
+use crate::storage::records::{FleetRecord, MachineRecord, ProvisionRecord, stored_bytes};
 use crate::time::Micros;
 
 /// Added to two list lags; the machines of a provision request younger than the sum count although no list contains them yet.
@@ -152,12 +151,12 @@
     ) -> Vec<ProvisionRecord> {
         let max_bytes = self.limits.value_bytes() / 8 * 7;
         let max_requests = self.settings.cloud_rps.max(1.0) as usize;
-        let mut bytes = encode(record).map_or(usize::MAX, |r| r.get().len());
+        let mut bytes = stored_bytes(record);
         let mut requests = Vec::new();
         for (offer, mut count) in wanted {
             while count > 0 {
                 let request = self.provision_request(&offer, count.min(PROVISION_LIMIT));
-                bytes += encode(&request).map_or(0, |r| r.get().len() + 1);
+                bytes += stored_bytes(&request) + 1;
                 if bytes > max_bytes || requests.len() >= max_requests {
                     return requests;
                 }
--- a/src/coordination/commit/transaction/compaction.rs
+++ b/src/coordination/commit/transaction/compaction.rs
@@ -1,22 +1,22 @@
 //! Compaction of records that were written under larger limits than the state store has now or will
 //! have: each step leaves a complete state.
 
-use super::edits::{GroupEdit, fit_images, size_of};
+use super::edits::{GroupEdit, fit_images};
 use super::limits::{SPARE_BYTES, max_values_bytes};
 use super::required_records::{RequiredJob, RequiredRecords};
 use super::{GroupId, TermUpdate, TransactionBuilder, TransactionLimits};
 use crate::storage::cell_state::CellState;
 use crate::storage::completion_bitmap::CompletionBitmap;
 use crate::storage::ids::{JobId, MachineId, ShardId};
-use crate::storage::records::{GroupRecord, Key, ShardLeaderRecord};
+use crate::storage::records::{GroupRecord, Key, ShardLeaderRecord, stored_bytes};
 
 /// Whether this record is larger than `max_bytes` in the replica.
 pub fn is_record_larger_than(cell: &CellState, key: &Key, max_bytes: usize) -> bool {
     match key {
         Key::Group(shard, index) => cell.groups[*shard]
             .get(index)
-            .is_some_and(|group| size_of(&group.value) > max_bytes),
-        Key::Usage(shard) => size_of(&cell.usage[*shard].value) > max_bytes,
+            .is_some_and(|group| stored_bytes(&group.value) > max_bytes),
+        Key::Usage(shard) => stored_bytes(&cell.usage[*shard].value) > max_bytes,
         _ => false,
     }
 }
@@ -41,7 +41,7 @@
         let machines: Vec<MachineId> = self.rest.machines.keys().rev().copied().collect();
         let target_bytes = self.limits.value_bytes.min(self.limits.group_bytes);
         for machine in machines {
-            if size_of(&self.rest) <= target_bytes || !self.move_machine(machine) {
+            if stored_bytes(&self.rest) <= target_bytes || !self.move_machine(machine) {
                 break;
             }
         }
@@ -131,7 +131,7 @@
             compact_encoding: self.compact_encoding,
             ..before.value.clone()
         };
-        let bytes = size_of(&rest);
+        let bytes = stored_bytes(&rest);
         let mut split = GroupSplit {
             limits: self.limits,
             full_record_bytes,
@@ -142,7 +142,7 @@
             bytes_left: 0,
         };
         split.run();
-        let rest_bytes = size_of(&split.rest);
+        let rest_bytes = stored_bytes(&split.rest);
         let rest_fits = rest_bytes <= self.limits.value_bytes;
         if split.new_groups.is_empty() && !rest_fits {
             return false;
@@ -170,7 +170,7 @@
             .next_back()
             .map_or(0, |last| last + 1);
         for (index, record) in (next_index..).zip(new_groups) {
-            let bytes = size_of(&record);
+            let bytes = stored_bytes(&record);
             let edit = GroupEdit::new(record, bytes, self.limits.value_bytes);
             self.groups.insert((shard, index), edit);
         }
@@ -230,7 +230,7 @@
     fn is_usage_small_enough(&self, shard: ShardId) -> bool {
         self.usage
             .get(&shard)
-            .is_some_and(|edit| size_of(&edit.record) <= self.limits.value_bytes)
+            .is_some_and(|edit| stored_bytes(&edit.record) <= self.limits.value_bytes)
     }
 
     /// Jobs for which the usage record keeps completions that their own records do not contain, the
--- a/src/coordination/commit/transaction/compaction/tests.rs
+++ b/src/coordination/commit/transaction/compaction/tests.rs
@@ -193,7 +193,7 @@
     assert!(
         cell.groups[0]
             .values()
-            .all(|g| size_of(&g.value) <= MAX_BYTES)
+            .all(|g| stored_bytes(&g.value) <= MAX_BYTES)
     );
 }
 
@@ -296,6 +296,8 @@
         apply(&mut cell, step, revision);
     }
     assert_eq!(cell.machines().count(), 2);
-    let largest = cell.groups[0].values().map(|group| size_of(&group.value));
+    let largest = cell.groups[0]
+        .values()
+        .map(|group| stored_bytes(&group.value));
     assert!(largest.max() <= Some(MAX_BYTES));
 }
--- a/src/coordination/commit/transaction/edits.rs
+++ b/src/coordination/commit/transaction/edits.rs
@@ -1,18 +1,12 @@
 //! Edited copies of records.
 
 use super::limits::{IMAGES_KEPT_BY_PRUNING, SPARE_BYTES};
-use crate::protocol::state::encode;
 use crate::storage::cell_state::Job;
 use crate::storage::completion_bitmap::{CompletionBitmap, FIRST_CHUNK, TASKS_PER_CHUNK};
 use crate::storage::job::{FinalRecord, JobRecord};
-use crate::storage::records::{GroupRecord, UsageRecord};
+use crate::storage::records::{GroupRecord, UsageRecord, stored_bytes};
 use std::collections::BTreeMap;
 
-/// Bytes of a value in its stored encoding.
-pub(super) fn size_of<T: serde::Serialize>(value: &T) -> usize {
-    encode(value).map_or(0, |encoded| encoded.get().len())
-}
-
 /// A group of machines.
 #[derive(Clone, Debug)]
 pub(super) struct GroupEdit {
@@ -42,7 +36,7 @@
         let needed_bytes = growth + spare.min(self.max_bytes / 16);
         if self.bytes + needed_bytes > self.max_bytes {
             // The size so far is a sum of upper bounds; near the limit the exact size is needed.
-            self.bytes = size_of(&self.record);
+            self.bytes = stored_bytes(&self.record);
         }
         if self.bytes + needed_bytes > self.max_bytes && may_prune && !self.pruned {
             self.prune_images();
@@ -55,20 +49,20 @@
     fn prune_images(&mut self) {
         self.pruned = true;
         truncate_images(&mut self.record, IMAGES_KEPT_BY_PRUNING);
-        self.bytes = size_of(&self.record);
+        self.bytes = stored_bytes(&self.record);
     }
 }
 
 /// Drops images of the machines, as many as it takes for a record of at most `max_bytes`: first most, then all. Returns the
 /// record's bytes.
 pub(super) fn fit_images(record: &mut GroupRecord, max_bytes: usize) -> usize {
-    let mut bytes = size_of(record);
+    let mut bytes = stored_bytes(record);
     for kept in [IMAGES_KEPT_BY_PRUNING, 0] {
         if bytes <= max_bytes {
             break;
         }
         truncate_images(record, kept);
-        bytes = size_of(record);
+        bytes = stored_bytes(record);
     }
     bytes
 }
@@ -89,7 +83,7 @@
 
 impl UsageEdit {
     pub fn new(record: UsageRecord) -> UsageEdit {
-        let bytes = size_of(&record) + SPARE_BYTES;
+        let bytes = stored_bytes(&record) + SPARE_BYTES;
         UsageEdit { record, bytes }
     }
 
@@ -162,7 +156,7 @@
     /// Makes a record smaller that takes more than `max_bytes`: it loses the dependencies if the job does not
     /// wait for them any more. `job`: the job as it was before the transaction.
     pub fn fit(&mut self, job: &Job, max_bytes: usize) {
-        if self.max_bytes > max_bytes && job.is_ready() && size_of(&self.record) > max_bytes {
+        if self.max_bytes > max_bytes && job.is_ready() && stored_bytes(&self.record) > max_bytes {
             self.record.drop_dependencies();
         }
     }
--- a/src/coordination/commit/transaction/limits/tests.rs
+++ b/src/coordination/commit/transaction/limits/tests.rs
@@ -2,7 +2,6 @@
 
 mod detached_chunk;
 
-use super::super::edits::size_of;
 use super::super::tests::{apply, machine, replica_of};
 use super::{MAX_TRANSACTION_BYTES, TransactionLimits};
 use crate::coordination::agents::AssignmentOutcome;
@@ -11,7 +10,9 @@
 use crate::storage::completion_bitmap::{CompletionBitmap, TASKS_PER_CHUNK};
 use crate::storage::ids::{Attempt, JobId, MachineId, TaskId};
 use crate::storage::job::{FinalRecord, JobRecord};
-use crate::storage::records::{Assignment, COMPACT_FORMAT, GroupRecord, INITIAL_FORMAT, Key};
+use crate::storage::records::{
+    Assignment, COMPACT_FORMAT, GroupRecord, INITIAL_FORMAT, Key, stored_bytes,
+};
 use crate::time::Micros;
 
 const VALUE_BYTES: usize = 16 * 1024;
@@ -71,7 +72,7 @@
     let mut group = GroupRecord::default();
     for id in first.. {
         group.machines.insert(MachineId(id), machine());
-        if size_of(&group) > 13 * 1024 {
+        if stored_bytes(&group) > 13 * 1024 {
             break;
         }
     }
@@ -170,7 +171,7 @@
 
 /// The same; the job's record is larger than [`LOWER_VALUE_BYTES`].
 fn replica_with_oversized_job(job: JobRecord) -> CellState {
-    let bytes = size_of(&job);
+    let bytes = stored_bytes(&job);
     assert!(bytes > LOWER_VALUE_BYTES, "{bytes} bytes");
     replica_with_job(job)
 }
@@ -259,7 +260,7 @@
         ..large_group(1)
     };
     let full = TransactionLimits {
-        value_bytes: size_of(&group),
+        value_bytes: stored_bytes(&group),
         ..limits(4)
     };
     insert(&mut cell, Key::Group(0, 0), Content::Group(group));
@@ -283,7 +284,7 @@
             .map(|index| (format!("{index}").repeat(250).into(), 500))
             .collect();
     }
-    assert!(size_of(&group) > LOWER_VALUE_BYTES);
+    assert!(stored_bytes(&group) > LOWER_VALUE_BYTES);
     let change = Change {
         key: Key::Group(0, 0),
         content: Some(Content::Group(group)),
--- a/src/coordination/commit/transaction/limits/tests/detached_chunk.rs
+++ b/src/coordination/commit/transaction/limits/tests/detached_chunk.rs
@@ -182,7 +182,7 @@
     let mut record = job.record.clone();
     record.finished_in_chunks = job.finished_in_chunks();
     record.cancel_within(LOWER_VALUE_BYTES, &CompletionBitmap::default());
-    assert!(size_of(&record) <= LOWER_VALUE_BYTES);
+    assert!(stored_bytes(&record) <= LOWER_VALUE_BYTES);
     insert_at(
         &mut cell,
         Key::Job(OVERSIZED),
--- a/src/coordination/commit/transaction/mod.rs
+++ b/src/coordination/commit/transaction/mod.rs
@@ -4,6 +4,7 @@
 pub mod compaction;
 mod edits;
 mod job_ends;
+mod job_records;
 mod limits;
 mod machines;
 #[cfg(test)]
--- a/src/coordination/commit/transaction/record_room.rs
+++ b/src/coordination/commit/transaction/record_room.rs
@@ -1,10 +1,10 @@
 //! Room for assignments in the records of machine groups.
 
-use super::edits::{GroupEdit, size_of};
+use super::edits::GroupEdit;
 use super::limits::SPARE_BYTES;
 use super::{GroupId, TransactionLimits};
 use crate::storage::cell_state::CellState;
-use crate::storage::records::{GroupRecord, Key};
+use crate::storage::records::{GroupRecord, Key, stored_bytes};
 use std::collections::BTreeMap;
 
 /// Bytes that an assignment usually takes at most.
@@ -50,7 +50,7 @@
 
 fn has_room(record: &GroupRecord, cell: &CellState, limits: TransactionLimits) -> bool {
     let compact_encoding = cell.uses_compact_encoding();
-    let bytes = size_of(record);
+    let bytes = stored_bytes(record);
     let max_bytes = limits.max_bytes(bytes);
     // The number of an attempt is the latest revision when it is planned.
     let growth = USUAL_ASSIGNMENT_BYTES + record.max_renumbering_bytes(cell.latest);
--- a/src/coordination/commit/transaction/releases.rs
+++ b/src/coordination/commit/transaction/releases.rs
@@ -1,6 +1,5 @@
 //! Releases of assignments in a transaction, with their outcomes.
 
-use super::edits::size_of;
 use super::limits::{MAX_JOB_TASKS_IN_USAGE, SPARE_BYTES, USAGE_ENTRY_BYTES};
 use super::required_records::{RequiredJob, RequiredRecords};
 use super::{GroupId, TransactionBuilder};
@@ -9,7 +8,7 @@
 use crate::storage::completion_bitmap::{CompletionBitmap, FIRST_CHUNK, TASKS_PER_CHUNK};
 use crate::storage::ids::{Attempt, JobId, MachineId, ShardId, TaskId};
 use crate::storage::job::FinalRecord;
-use crate::storage::records::{Assignment, Key};
+use crate::storage::records::{Assignment, Key, stored_bytes};
 
 /// Where the outcome of an attempt is recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -211,7 +210,7 @@
         let is_known = ends.contains(index) || job.record.finished.contains(index);
         let completed = job.record.finished.union_count(&ends) + u32::from(!is_known);
         let bytes = self.usage.get(&shard).map_or_else(
-            || size_of(&self.cell.usage[shard].value) + SPARE_BYTES,
+            || stored_bytes(&self.cell.usage[shard].value) + SPARE_BYTES,
             |edit| edit.bytes,
         );
         let bitmap_bytes = (MAX_JOB_TASKS_IN_USAGE / 4) as usize;
--- a/src/storage/job.rs
+++ b/src/storage/job.rs
@@ -3,6 +3,7 @@
 use crate::storage::catalog::MachineType;
 use crate::storage::completion_bitmap::{CompletionBitmap, FIRST_CHUNK, TASKS_PER_CHUNK};
 use crate::storage::ids::{JobId, MachineId};
+use crate::storage::records::stored_bytes;
 use crate::storage::resources::{Amount, is_zero};
 use crate::time::Micros;
 use cometlead_constraints::Rule;
@@ -281,10 +282,6 @@
 
     /// Drops what a job of which no task starts any more does not need, until the record has at most `max_bytes`.
     fn reduce_to(&mut self, max_bytes: usize, recorded_elsewhere: &CompletionBitmap) {
-        let stored_bytes = |record: &JobRecord| {
-            let value = serde_json::to_string(record);
-            value.map_or(0, |value| value.len())
-        };
         let reductions: [&dyn Fn(&mut JobRecord); 5] = [
             &JobRecord::drop_dependencies,
             &|record| record.count_finished_tasks(recorded_elsewhere),
--- a/src/storage/job/tests.rs
+++ b/src/storage/job/tests.rs
@@ -17,10 +17,6 @@
     record
 }
 
-fn stored_bytes(record: &JobRecord) -> usize {
-    serde_json::to_string(record).unwrap().len()
-}
-
 /// Guards against a cancellation that is refused for ever because some text of the job's record is long, whoever wrote it.
 #[test]
 fn cancelled_record_fits_whatever_text_made_it_long() {
--- a/src/storage/records/mod.rs
+++ b/src/storage/records/mod.rs
@@ -18,6 +18,11 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// Bytes of a record's stored form.
+pub fn stored_bytes<T: Serialize>(record: &T) -> usize {
+    serde_json::to_string(record).map_or(0, |text| text.len())
+}
+
 /// What all controllers of a deployment agree on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MetaRecord {
