One function builds a cancelled record; set-up of the tests of limits stands once

The steps that build a cancelled record stood in the controller and again in a test; both call Job::cancelled_record now. A replica with assigned tasks, and a machine's images with long names, were set up twice in tests. Behaviour and assertions stay.

--- a/src/coordination/api/cancellations.rs
+++ b/src/coordination/api/cancellations.rs
@@ -60,11 +60,7 @@
 
     /// The record of a job, marked as cancelled, and small enough for the limits that are or will be in force.
     fn cancelled_record(&self, job: &Job) -> JobRecord {
-        let compact_encoding = self.cell.uses_compact_encoding();
-        let mut record = job.record.clone().with_compact_encoding(compact_encoding);
-        record.finished_in_chunks = job.finished_in_chunks();
-        record.cancel_within(self.limits.value_bytes(), &job.recorded_finished_tasks);
-        record
+        job.cancelled_record(self.limits.value_bytes(), self.cell.uses_compact_encoding())
     }
 
     pub(in crate::coordination) fn on_cancellation_result(
--- a/src/coordination/commit/transaction/compaction/tests.rs
+++ b/src/coordination/commit/transaction/compaction/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of `compaction`.
 
-use super::super::tests::{apply, conditions_hold, machine, replica_of};
+use super::super::tests::{apply, conditions_hold, images_with_long_names, machine, replica_of};
 use super::super::{PlannedTransaction, TransactionLimits};
 use super::*;
 use crate::coordination::agents::AssignmentOutcome;
@@ -275,9 +275,7 @@
     let mut group = GroupRecord::default();
     for id in 1..=2 {
         let mut record = machine();
-        record.images = (0..8)
-            .map(|index| (format!("{index}").repeat(250).into(), 500))
-            .collect();
+        record.images = images_with_long_names();
         group.machines.insert(MachineId(id), record);
     }
     let key = Key::Group(0, 0);
--- a/src/coordination/commit/transaction/limits/tests.rs
+++ b/src/coordination/commit/transaction/limits/tests.rs
@@ -2,7 +2,7 @@
 
 mod detached_chunk;
 
-use super::super::tests::{apply, machine, replica_of};
+use super::super::tests::{apply, images_with_long_names, machine, replica_of};
 use super::{MAX_TRANSACTION_BYTES, TransactionLimits};
 use crate::coordination::agents::AssignmentOutcome;
 use crate::coordination::commit::transaction::{PlannedTransaction, TransactionBuilder};
@@ -156,11 +156,26 @@
     assert!(alone.end_cancelled(CANCELLED), "the chunk is not removed");
 }
 
+fn attempt_of(index: u32) -> Attempt {
+    let task = TaskId {
+        job: OVERSIZED,
+        index,
+    };
+    Attempt { task, number: 1 }
+}
+
 /// A replica in which a task of this job is assigned to a machine.
 fn replica_with_job(job: JobRecord) -> CellState {
-    let mut cell = replica_of(COMPACT_FORMAT);
+    replica_with_tasks(COMPACT_FORMAT, job, &[0])
+}
+
+/// A replica in which these tasks of the job are assigned to a machine.
+fn replica_with_tasks(record_format: u32, job: JobRecord, tasks: &[u32]) -> CellState {
+    let mut cell = replica_of(record_format);
     let mut record = machine();
-    record.tasks.push(Assignment::of(attempt(OVERSIZED.0)));
+    record
+        .tasks
+        .extend(tasks.iter().map(|index| Assignment::of(attempt_of(*index))));
     let mut group = GroupRecord::default();
     group.machines.insert(MachineId(1), record);
     insert(&mut cell, Key::Job(OVERSIZED), Content::Job(Box::new(job)));
@@ -280,9 +295,7 @@
     let mut cell = replica_with_job(one_task_job());
     let mut group = cell.groups[0][&0].value.clone();
     for record in group.machines.values_mut() {
-        record.images = (0..8)
-            .map(|index| (format!("{index}").repeat(250).into(), 500))
-            .collect();
+        record.images = images_with_long_names();
     }
     assert!(stored_bytes(&group) > LOWER_VALUE_BYTES);
     let change = Change {
--- a/src/coordination/commit/transaction/limits/tests/detached_chunk.rs
+++ b/src/coordination/commit/transaction/limits/tests/detached_chunk.rs
@@ -16,28 +16,6 @@
     job
 }
 
-fn replica_with_tasks(record_format: u32, job: JobRecord, tasks: &[u32]) -> CellState {
-    let mut cell = replica_of(record_format);
-    let mut record = machine();
-    record
-        .tasks
-        .extend(tasks.iter().map(|index| Assignment::of(attempt_of(*index))));
-    let mut group = GroupRecord::default();
-    group.machines.insert(MachineId(1), record);
-    insert(&mut cell, Key::Job(OVERSIZED), Content::Job(Box::new(job)));
-    insert(&mut cell, Key::Group(0, 0), Content::Group(group));
-    cell.advance(1_000_000);
-    cell
-}
-
-fn attempt_of(index: u32) -> Attempt {
-    let task = TaskId {
-        job: OVERSIZED,
-        index,
-    };
-    Attempt { task, number: 1 }
-}
-
 /// The transaction that records the end of a task under the lower limits; `None` if the end is held back.
 fn complete(cell: &CellState, index: u32) -> Option<PlannedTransaction> {
     let mut transaction = TransactionBuilder::new(cell, lower_limits());
@@ -178,10 +156,7 @@
         let planned = complete(&cell, index).expect("the end is recorded");
         apply(&mut cell, planned, revision);
     }
-    let job = &cell.jobs[&OVERSIZED];
-    let mut record = job.record.clone();
-    record.finished_in_chunks = job.finished_in_chunks();
-    record.cancel_within(LOWER_VALUE_BYTES, &CompletionBitmap::default());
+    let record = cell.jobs[&OVERSIZED].cancelled_record(LOWER_VALUE_BYTES, true);
     assert!(stored_bytes(&record) <= LOWER_VALUE_BYTES);
     insert_at(
         &mut cell,
--- a/src/coordination/commit/transaction/tests.rs
+++ b/src/coordination/commit/transaction/tests.rs
@@ -11,6 +11,13 @@
 use crate::storage::records::{COMPACT_FORMAT, INITIAL_FORMAT, MetaRecord};
 use std::collections::BTreeMap;
 
+/// As many images as a machine's record keeps, with names that fill a value of 2 KiB.
+pub(super) fn images_with_long_names() -> Vec<(std::sync::Arc<str>, u64)> {
+    (0..8)
+        .map(|index| (format!("{index}").repeat(250).into(), 500))
+        .collect()
+}
+
 pub(super) fn machine() -> MachineRecord {
     MachineRecord {
         machine_type: "small".into(),
--- a/src/storage/live_job.rs
+++ b/src/storage/live_job.rs
@@ -87,6 +87,14 @@
         self.record.finished_in_chunks.max(stored)
     }
 
+    /// The job's record, marked as cancelled, of at most `max_bytes`.
+    pub fn cancelled_record(&self, max_bytes: usize, compact_encoding: bool) -> JobRecord {
+        let mut record = self.record.clone().with_compact_encoding(compact_encoding);
+        record.finished_in_chunks = self.finished_in_chunks();
+        record.cancel_within(max_bytes, &self.recorded_finished_tasks);
+        record
+    }
+
     /// Whether the task with this number is finished.
     pub fn is_finished(&self, index: u32) -> bool {
         match index / TASKS_PER_CHUNK {
